--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,99 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"spanmux/logic"
+)
+
+// opening is the settings object with which an instance starts; what it holds beyond this is disregarded.
+type opening struct {
+	Balancers int      `json:"balancers"`
+	Me        int      `json:"me"`
+	MyZone    string   `json:"myZone"`
+	Zones     []string `json:"dcs"`
+	Profiles  []struct {
+		Name        string  `json:"name"`
+		Effect      string  `json:"effect"`
+		Group       string  `json:"group"`
+		Window      int64   `json:"window"`
+		ServiceGoal int64   `json:"serviceGoal"`
+		HardLimit   int64   `json:"hardLimit"`
+		Revenue     float64 `json:"revenue"`
+		LateRevenue float64 `json:"lateRevenue"`
+	} `json:"profiles"`
+	Parties []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quotaRps"`
+	} `json:"parties"`
+	Limits struct {
+		Cancelling    bool  `json:"cancelling"`
+		MayTell       bool  `json:"mayTell"`
+		MostHops      int   `json:"mostHops"`
+		Probes        bool  `json:"probes"`
+		RetryAfter    bool  `json:"retryAfter"`
+		MaxRetryAfter int64 `json:"maxRetryAfter"`
+		SecondCopies  bool  `json:"secondCopies"`
+	} `json:"limits"`
+	Obligations struct {
+		ColdFrom     float64 `json:"coldFrom"`
+		FallMultiple float64 `json:"fallMultiple"`
+		TipAfter     int64   `json:"tipAfter"`
+		WarmUp       int64   `json:"warmUp"`
+	} `json:"obligations"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+	} `json:"prices"`
+	Report struct {
+		Via string `json:"via"`
+	} `json:"report"`
+	Specifics struct {
+		WarmKeys bool `json:"warmKeys"`
+	} `json:"specifics"`
+}
+
+var effects = map[string]logic.Effect{
+	"idempotent": logic.Idempotent, "deduplicated": logic.Journalled, "at_most_once": logic.NonIdempotent,
+}
+
+var reaches = map[string]logic.Reach{"all": logic.AllHosts, "zone": logic.SameZone, "cell": logic.SameCell}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// open starts an instance with the settings in text.
+func open(out *sender, now time.Duration, seed uint64, text []byte) (*instance, error) {
+	var o opening
+	if err := json.Unmarshal(text, &o); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	in := &instance{profiles: map[string]int{}, tenants: map[string]int{}}
+	profiles := make([]logic.Profile, len(o.Profiles))
+	for i, p := range o.Profiles {
+		effect, ok := effects[p.Effect]
+		if !ok {
+			return nil, fmt.Errorf("settings: profile %s: unknown effect %q", p.Name, p.Effect)
+		}
+		reach, ok := reaches[p.Group]
+		if !ok && effect == logic.Journalled {
+			return nil, fmt.Errorf("settings: profile %s: unknown group %q", p.Name, p.Group)
+		}
+		in.profiles[p.Name] = i
+		profiles[i] = logic.Profile{Name: p.Name, Effect: effect, Reach: reach, Window: micros(p.Window),
+			Goal: micros(p.ServiceGoal), Limit: micros(p.HardLimit), Revenue: p.Revenue, LateRevenue: p.LateRevenue}
+	}
+	tenants := make([]logic.Tenant, len(o.Parties))
+	for i, t := range o.Parties {
+		in.tenants[t.Name] = i
+		tenants[i] = logic.Tenant{Name: t.Name, Quota: t.Quota}
+	}
+	in.Gateway = logic.New(out, now, seed,
+		logic.Place{Me: o.Me, Gateways: o.Balancers, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
+		logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
+			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
+		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling},
+		logic.LoadSource{ByProbe: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell},
+		logic.Price{Crossing: o.Prices.CrossZone})
+	return in, nil
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,329 @@
+// Package simwire speaks the simulator's wire: it turns the lines it reads straight into calls on the
+// decisions and their answers straight into lines. The wire's names go no further than this package.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"spanmux/logic"
+)
+
+type instance struct {
+	logic.Gateway
+	profiles, tenants map[string]int
+}
+
+// Serve reads batches from r and writes one reply for each to w, until the input ends.
+func Serve(r io.Reader, w io.Writer) error {
+	s := &server{in: bufio.NewReaderSize(r, 1<<16), out: bufio.NewWriterSize(w, 1<<16), instances: map[string]*instance{}}
+	for {
+		line, err := s.line()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = s.event(line)
+		}
+		if err != nil {
+			s.out.Flush()
+			return fmt.Errorf("line %d: %w", s.lines, err)
+		}
+	}
+}
+
+type server struct {
+	in        *bufio.Reader
+	out       *bufio.Writer
+	instances map[string]*instance
+	now       time.Duration
+	inBatch   bool
+	lines     int
+	long      []byte // a line longer than the reader's buffer
+}
+
+func (s *server) line() ([]byte, error) {
+	s.lines++
+	line, err := s.in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		s.long = append(s.long[:0], line...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			line, err = s.in.ReadSlice('\n')
+			s.long = append(s.long, line...)
+		}
+		line = s.long
+	}
+	if err != nil {
+		if errors.Is(err, io.EOF) && (len(line) > 0 || s.inBatch) {
+			return nil, errors.New("the input ends within a batch")
+		}
+		return nil, err
+	}
+	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+}
+
+// fields reads the parts of a line; the first that is wrong is kept as its error.
+type fields struct {
+	rest []byte
+	err  error
+}
+
+func (f *fields) text() []byte {
+	if f.rest == nil {
+		f.fail("too few values")
+		return nil
+	}
+	part, rest, more := bytes.Cut(f.rest, []byte(" "))
+	if !more {
+		rest = nil
+	}
+	f.rest = rest
+	return part
+}
+
+func (f *fields) fail(format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (f *fields) int() int64 {
+	t := f.text()
+	if absent(t) {
+		return 0
+	}
+	digits, negative := t, t[0] == '-'
+	if negative {
+		digits = t[1:]
+	}
+	n := int64(0)
+	for _, c := range digits {
+		if c < '0' || c > '9' || n > (1<<63-10)/10 {
+			f.fail("%q is not a whole number", t)
+			return 0
+		}
+		n = n*10 + int64(c-'0')
+	}
+	if negative {
+		return -n
+	}
+	return n
+}
+
+func (f *fields) span() time.Duration { return micros(f.int()) }
+
+func absent(t []byte) bool { return len(t) == 0 || len(t) == 1 && t[0] == '-' }
+
+var ends = map[string]logic.End{
+	"pass": logic.Committed, "fault": logic.Error, "no_room": logic.Full, "too_slow": logic.TimedOut,
+	"no_route": logic.NoConnection, "cut": logic.Broken, "undone": logic.CalledOff, "stale_send": logic.Moot,
+}
+
+func (f *fields) end() logic.End {
+	t := f.text()
+	end, ok := ends[string(t)]
+	if !ok {
+		f.fail("unknown outcome %q", t)
+	}
+	return end
+}
+
+func (f *fields) load() logic.Load {
+	l := logic.NoLoad
+	t := f.text()
+	if absent(t) {
+		return l
+	}
+	for len(t) > 0 {
+		var pair []byte
+		pair, t, _ = bytes.Cut(t, []byte(","))
+		name, value, _ := bytes.Cut(pair, []byte(":"))
+		var to *float64
+		switch string(name) {
+		case "rif":
+			to = &l.Held
+		case "q":
+			to = &l.Waiting
+		case "busy":
+			to = &l.Busy
+		default:
+			continue
+		}
+		n, err := strconv.ParseFloat(string(value), 64)
+		if err != nil {
+			f.fail("%q is not a load report", pair)
+		}
+		*to = n
+	}
+	return l
+}
+
+// event carries out one line.
+func (s *server) event(line []byte) error {
+	f := &fields{rest: line}
+	name := f.text()
+	switch string(name) {
+	case "round":
+		if s.inBatch {
+			return errors.New("a batch begins within a batch")
+		}
+		s.now, s.inBatch = f.span(), true
+		return f.err
+	case "end":
+		if !s.inBatch {
+			return errors.New("a batch ends that has not begun")
+		}
+		s.inBatch = false
+		s.out.WriteString("done\n")
+		return s.out.Flush()
+	case "":
+		return nil
+	}
+	if !s.inBatch {
+		return fmt.Errorf("event %q outside a batch", name)
+	}
+	who := f.text()
+	in := s.instances[string(who)]
+	switch string(name) {
+	case "open_instance":
+		seed := f.int()
+		if f.err != nil {
+			return f.err
+		}
+		started, err := open(&sender{w: s.out, who: string(who)}, s.now, uint64(seed), f.rest)
+		if err != nil {
+			return err
+		}
+		s.instances[string(who)] = started
+		return nil
+	case "peers_known":
+		return s.list(f, in)
+	}
+	if in == nil {
+		return fmt.Errorf("%s for %q, which has not started", name, who)
+	}
+	return s.call(string(name), f, in, string(who))
+}
+
+func (s *server) call(name string, f *fields, in *instance, who string) error {
+	switch name {
+	case "ingress":
+		id := logic.TxID(f.int())
+		f.int() // what the bits say, no decision needs so far
+		tenant, key, budget := f.text(), f.text(), f.span()
+		f.int() // nor the guess of the cost
+		profile, known := in.profiles[string(f.rest)]
+		if !known && f.err == nil {
+			f.fail("unknown profile %q", f.rest)
+		}
+		a := logic.Arrival{Profile: profile, Tenant: -1, Budget: budget}
+		if t, ok := in.tenants[string(tenant)]; ok {
+			a.Tenant = t
+		}
+		if !absent(key) {
+			a.Key = string(key)
+		}
+		if f.err == nil {
+			in.Take(s.now, id, a)
+		}
+	case "response":
+		id, n, host := logic.TxID(f.int()), int(f.int()), logic.HostID(f.int())
+		end, took := f.end(), f.span()
+		over, load := f.int() == 1, f.load()
+		if f.err == nil {
+			in.HopEnded(s.now, id, n, host, logic.Result{End: end, Took: took, Load: load}, over)
+		}
+	case "echo":
+		host, end := logic.HostID(f.int()), f.text()
+		f.int() // how long it took
+		if load := f.load(); f.err == nil && string(end) == "pass" {
+			in.Probed(s.now, host, load)
+		}
+	case "timeout_fired":
+		if f.int(); f.err == nil {
+			in.Timer(s.now)
+		}
+	case "whisper":
+		from := int(f.int())
+		text := f.text()
+		if absent(text) {
+			text = nil
+		}
+		msg := make([]byte, hex.DecodedLen(len(text)))
+		if _, err := hex.Decode(msg, text); err != nil {
+			f.fail("message: %w", err)
+		}
+		if f.err == nil {
+			in.Told(s.now, from, msg)
+		}
+	case "abandoned":
+		if id := logic.TxID(f.int()); f.err == nil {
+			in.Left(s.now, id)
+		}
+	case "first":
+		if id, n := logic.TxID(f.int()), int(f.int()); f.err == nil {
+			in.Begun(s.now, id, n)
+		}
+	case "retire":
+		delete(s.instances, who)
+	default:
+		return fmt.Errorf("unknown event %q", name)
+	}
+	if f.err != nil {
+		return fmt.Errorf("%s: %w", name, f.err)
+	}
+	return nil
+}
+
+var kinds = map[int64]logic.ListKind{2: logic.Changes, 1: logic.Whole, 0: logic.Cached, 4: logic.Lost}
+
+// list reads a list with its entries, which stand on lines of their own.
+func (s *server) list(f *fields, in *instance) error {
+	how := f.int()
+	kind, ok := kinds[how]
+	f.int() // its version: lists come in order
+	n := f.int()
+	if f.err == nil && !ok {
+		f.fail("unknown kind of list %d", how)
+	}
+	if f.err == nil && in == nil {
+		f.fail("for an instance that has not started")
+	}
+	if f.err != nil {
+		return fmt.Errorf("peers_known: %w", f.err)
+	}
+	var hosts []logic.Host
+	for range n {
+		line, err := s.line()
+		if err != nil {
+			return fmt.Errorf("peers_known: %w", err)
+		}
+		e := &fields{rest: line}
+		if mark := e.text(); string(mark) != "m" {
+			return fmt.Errorf("peers_known: %q where an entry belongs", line)
+		}
+		id, zone, machine, cell := e.int(), string(e.text()), string(e.text()), int(e.int())
+		state := e.int()
+		e.text() // the size, which no decision needs so far
+		hosts = append(hosts, logic.Host{ID: logic.HostID(id), Zone: zone, Kind: machine, Cell: cell,
+			State: logic.HostState(state), Started: e.span()})
+		if e.err != nil || state < 0 || state > 2 {
+			return fmt.Errorf("peers_known: entry %q: %w", line, errors.Join(e.err, errBadState(state)))
+		}
+	}
+	in.List(s.now, kind, hosts)
+	return nil
+}
+
+func errBadState(state int64) error {
+	if state < 0 || state > 2 {
+		return fmt.Errorf("unknown state %d", state)
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,174 @@
+// Package logic decides for one gateway which host each transaction goes to and how it ends.
+// This file holds the plain types and the interface by which it is called; logic.go decides.
+package logic
+
+import "time"
+
+type (
+	TxID   uint64
+	HostID uint32
+)
+
+// Gateway is all that a protocol calls. Every call carries the time since the start; what the module
+// wants done it does through Out before the call returns.
+type Gateway interface {
+	// List takes the host list, or the changes to it. A Lost list carries no hosts: the call for it failed.
+	List(now time.Duration, kind ListKind, hosts []Host)
+	// Take accepts a transaction, which is owed one final answer within its budget.
+	Take(now time.Duration, id TxID, a Arrival)
+	// HopEnded reports the one outcome of a hop; over says that the transaction has its final answer.
+	HopEnded(now time.Duration, id TxID, hop int, host HostID, r Result, over bool)
+	// Begun reports that a streamed answer has begun: from here on the transaction is its host's.
+	Begun(now time.Duration, id TxID, hop int)
+	// Left reports that nobody waits for a transaction any more.
+	Left(now time.Duration, id TxID)
+	// Probed brings the load that a probed host reports.
+	Probed(now time.Duration, host HostID, l Load)
+	// Told brings what another gateway has told.
+	Told(now time.Duration, from int, msg []byte)
+	// Timer reports that a timer set through Out has fallen due.
+	Timer(now time.Duration)
+}
+
+// Out is what a protocol does for the module.
+type Out interface {
+	// Hop sends the transaction to a host, for as long as wait; hops of a transaction count from 0.
+	Hop(id TxID, host HostID, wait time.Duration)
+	CallOff(id TxID, hop int)
+	// RollBack answers finally that nothing is left behind; the client may come back after the time given.
+	RollBack(id TxID, after time.Duration)
+	// Abandon answers finally and promises nothing.
+	Abandon(id TxID)
+	Probe(host HostID)
+	// Tell sends up to 256 bytes to all other gateways.
+	Tell(msg []byte)
+	// AskList asks for the list and for its changes from then on.
+	AskList()
+	SetTimer(in time.Duration)
+	Log(line string)
+}
+
+type ListKind int
+
+const (
+	Changes ListKind = iota
+	Whole
+	Cached
+	Lost
+)
+
+type HostState int
+
+const (
+	Gone HostState = iota
+	Ready
+	Draining
+)
+
+// Host is an entry of the list. Started is zero for a host that has run for long.
+type Host struct {
+	ID      HostID
+	Zone    string
+	Kind    string
+	Cell    int
+	State   HostState
+	Started time.Duration
+}
+
+type Effect int
+
+const (
+	Idempotent Effect = iota
+	Journalled
+	NonIdempotent
+)
+
+// Reach says which hosts drop a repeat of a journalled transaction.
+type Reach int
+
+const (
+	AllHosts Reach = iota
+	SameZone
+	SameCell
+)
+
+type Profile struct {
+	Name        string
+	Effect      Effect
+	Reach       Reach
+	Window      time.Duration // how long repeats are dropped, from the first hop that may have run
+	Goal, Limit time.Duration // service goal and hard limit
+	Revenue     float64
+	LateRevenue float64 // share of the revenue that an answer past the goal earns
+}
+
+// Tenant is a sharer of the service; Quota is in transactions a second over all gateways.
+type Tenant struct {
+	Name  string
+	Quota float64
+}
+
+// Arrival describes a transaction taken. Profile and Tenant are places in the lists given at the start, Tenant -1
+// where there is none.
+type Arrival struct {
+	Profile, Tenant int
+	Key             string
+	Budget          time.Duration
+}
+
+type End int
+
+const (
+	Committed End = iota
+	Error
+	Full
+	TimedOut
+	NoConnection
+	Broken
+	CalledOff
+	Moot
+)
+
+// NeverRan tells whether the end of a hop proves that it had no effect.
+func (e End) NeverRan() bool { return e == Full || e == NoConnection || e == Moot }
+
+// Load is what a host reports of itself; a figure below zero was not reported.
+type Load struct{ Held, Waiting, Busy float64 }
+
+// NoLoad is a report without figures.
+var NoLoad = Load{-1, -1, -1}
+
+// Result is how a hop ended.
+type Result struct {
+	End  End
+	Took time.Duration
+	Load Load
+}
+
+// Place is where the gateway stands among the gateways and zones.
+type Place struct {
+	Me, Gateways int
+	Zone         string
+	Zones        []string
+}
+
+// ColdRule bounds what a freshly started host may be sent.
+type ColdRule struct {
+	From     float64       // share of its capacity at which a host starts, at the least
+	WarmUp   time.Duration // by when it is warm, at the latest
+	Multiple float64       // of its present capacity, which over TipAfter pushes it over
+	TipAfter time.Duration
+}
+
+// HopRule bounds what one transaction may use.
+type HopRule struct {
+	Most         int
+	SecondCopies bool
+	CallOff      bool
+}
+
+// LoadSource says how hosts and gateways tell of load.
+type LoadSource struct{ ByProbe, Tells bool }
+
+// Price is what crossing a zone costs, as a share of the mean revenue of a transaction.
+type Price struct{ Crossing float64 }
