Count time-outs for a breaker only when far over the expected time

Cause: in a jam hops time out everywhere, five in a row open breakers on sound hosts and the rest tip over.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
+	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies over hops out without an answer that make a host silent
 	silentLeast = 20 * time.Millisecond  // network noise on top of it
 	fullFrom    = 0.5                    // of the goal: expected time at which a group is near full, before price
@@ -792,8 +793,11 @@
 		b.work[profile].add(took/slots/h.pace.value, workStep)
 		h.pace.add(took/slots/b.work[profile].value, paceStep)
 	case TimedOut:
-		bad = true
+		// Where all are slow, hops time out everywhere; only one far over its expected time speaks of a host that hangs.
+		expected := b.work[profile].value * h.pace.value * slots
+		bad = took > overdue*expected
 		h.lat.add(max(took, h.lat.value), paceStep)
+		h.pace.add(max(took/slots/b.work[profile].value, h.pace.value), paceStep)
 	case Error, Broken, NoConnection:
 		bad, errs = true, true
 	case Full:
@@ -803,7 +807,10 @@
 		h.whole.trying, h.by[profile].trying = false, false
 		return
 	}
-	h.bad = h.bad || bad
+	h.bad = h.bad || r.End != Committed
+	if r.End == TimedOut && !bad {
+		return
+	}
 	for _, c := range []*breaker{&h.whole, &h.by[profile]} {
 		if c.note(bad, errs, b.now, b.chance()) {
 			b.out.Log(fmt.Sprintf("host %d profile %s: breaker open %t", h.ID, b.profiles[profile].Name, c.open))
