--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
 	slowFactor  = 1.5                    // latency over the group's median that cuts it, ditto
 	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
+	sharpness   = 3.0                    // power of the expected time in the draw: twice the time, an eighth of the draws
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
@@ -498,59 +499,65 @@
 	return nil, 0
 }
 
-// draw picks from a group by weight, and once more where the first is busier than the mean; where the pick is near
-// full all the same, the host that promises most.
+// draw picks from a group by weight, and once more where the first is slower than the mean; where the pick is near
+// full all the same, the host that promises most. Weights change once a second and time-outs come sooner than that,
+// so a weight counts for less as far as its host's expected time is over the shortest.
 func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (*host, float64) {
-	var room [32]*host
-	open, weights, sum := room[:0], 0.0, 0.0
-	var best *host
-	bestTime, busy := math.Inf(1), 0.0
+	var room [32]choice
+	open, best := room[:0], -1
 	for _, h := range g {
 		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) {
 			continue
 		}
+		e := b.expect(h, t.profile)
 		if !barred && (!h.closed(t.profile) || h.silent(b.now)) {
 			// A trial is never a transaction that must not run twice, unless its own profile is on trial.
 			if h.trialDue(t.profile, b.now) && !h.silent(b.now) &&
-				(b.profiles[t.profile].Effect != NonIdempotent || !h.whole.open) {
-				return h, b.expect(h, t.profile)
+				(t.prof.Effect != NonIdempotent || !h.whole.open) {
+				return h, e
 			}
 			continue
 		}
-		open, weights = append(open, h), weights+h.weight
-		e := b.expect(h, t.profile)
-		sum += e
-		if h.busyAt > 0 && b.now-h.busyAt < busyAge {
-			busy += h.busy
-		}
-		if e < bestTime {
-			best, bestTime = h, e
+		open = append(open, choice{h, e, 0})
+		if best < 0 || e < open[best].expected {
+			best = len(open) - 1
 		}
 	}
-	if best == nil {
+	if best < 0 {
 		return nil, 0
 	}
-	pick, e := b.weighted(open, weights, t.profile)
-	if e > sum/float64(len(open)) {
-		if again, e2 := b.weighted(open, weights, t.profile); e2 < e {
-			pick, e = again, e2
+	weights, mean := 0.0, 0.0
+	for i := range open {
+		c := &open[i]
+		c.weight = c.host.weight * math.Pow(open[best].expected/c.expected, sharpness)
+		weights += c.weight
+		mean += c.expected / float64(len(open))
+	}
+	pick := b.weighted(open, weights)
+	if pick.expected > mean {
+		if again := b.weighted(open, weights); again.expected < pick.expected {
+			pick = again
 		}
 	}
-	if e > near {
-		pick, e = best, bestTime
+	if pick.expected > near {
+		pick = &open[best]
 	}
-	return pick, e
+	return pick.host, pick.expected
+}
+
+type choice struct {
+	host             *host
+	expected, weight float64
 }
 
-func (b *Balancer) weighted(open []*host, weights float64, profile int) (*host, float64) {
+func (b *Balancer) weighted(open []choice, weights float64) *choice {
 	x := b.chance() * weights
-	for _, h := range open {
-		if x -= h.weight; x < 0 {
-			return h, b.expect(h, profile)
+	for i := range open {
+		if x -= open[i].weight; x < 0 {
+			return &open[i]
 		}
 	}
-	h := open[len(open)-1]
-	return h, b.expect(h, profile)
+	return &open[len(open)-1]
 }
 
 // Admission.
