Spill earlier where a crossing is cheap

Cause: the own group was driven to half the goal before any spill, whatever a crossing costs. Conclusion: kept; the price in the settings says when a group is near full.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies over hops out without an answer that make a host silent
 	silentLeast = 20 * time.Millisecond  // network noise on top of it
-	fullFrom    = 0.5                    // of the goal: expected time at which a group is near full, before price
+	fullFrom    = 0.25                   // of the goal: expected time at which a group is near full, before price
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
@@ -475,7 +475,7 @@
 	p := &b.profiles[t.profile]
 	goal := float64(p.Goal)
 	dear := b.price.Crossing * b.revenue.value / p.Revenue // what a crossing costs against what this one earns
-	near := min(fullFrom+dear, fullMost) * goal
+	near := min(fullFrom+2*dear, fullMost) * goal
 	for _, barred := range []bool{false, true} { // where every breaker is open, all allowed hosts
 		for i, g := range b.table.groups {
 			h, e := b.draw(g, t, barred, near)
