Let idempotent hops run past the goal: a late answer ends the client's tries

Told from hosts too slow: time-outs were at 11-22% before any trouble began, with p50 at half the goal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -664,7 +664,8 @@
 	b.now = now
 	p := &b.profiles[a.Profile]
 	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget, goalAt: now + p.Goal - goalSlack}
-	if p.LateRevenue == 0 {
+	// Stopped at its goal, an idempotent one would only come again: a late answer at least ends its client's tries.
+	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, t.goalAt)
 	}
 	b.revenue.add(p.Revenue, workStep)
