--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
-	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
+	admitMost   = 0.7                    // of the goal: expected time over which a transaction is rolled back
 	overAdmit   = 0.3                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that is still within it
 	goalSlack   = 5 * time.Millisecond   // an answer must leave this much before the goal to reach its client
