--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -43,6 +43,9 @@
 		TipAfter     int64   `json:"tipAfter"`
 		WarmUp       int64   `json:"warmUp"`
 	} `json:"obligations"`
+	Blend struct {
+		Tail float64 `json:"tail"`
+	} `json:"blend"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
 	} `json:"prices"`
@@ -94,6 +97,6 @@
 			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
 		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling},
 		logic.LoadSource{ByProbe: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell},
-		logic.Price{Crossing: o.Prices.CrossZone})
+		logic.Price{Crossing: o.Prices.CrossZone, Misses: o.Blend.Tail > 0})
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,8 @@
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
-	admitMost   = 0.7                    // of the goal: expected time over which a transaction is rolled back
+	admitMost   = 1.1                    // of the goal: expected time over which a transaction is rolled back
+	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	overAdmit   = 0.3                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that is still within it
 	goalSlack   = 5 * time.Millisecond   // an answer must leave this much before the goal to reach its client
@@ -86,12 +87,15 @@
 		txs: map[TxID]*tx{}, work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
 		seed:  crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed)),
 		table: table{byID: map[HostID]*host{}, cold: cold, gateways: place.Gateways, profiles: len(profiles)},
-		admit: admission{tenants: make([]tenant, len(tenants))}}
+		admit: admission{tenants: make([]tenant, len(tenants)), most: admitMost}}
 	for i, z := range place.Zones {
 		if z == place.Zone {
 			b.table.zones = append(slices.Clone(place.Zones[i:]), place.Zones[:i]...)
 		}
 	}
+	if price.Misses {
+		b.admit.most = admitTail
+	}
 	for i, t := range tenants {
 		b.admit.tenants[i] = tenant{quota: t.Quota}
 	}
@@ -564,7 +568,10 @@
 
 type tenant struct{ quota, rate, tokens, taken float64 }
 
-type admission struct{ tenants []tenant }
+type admission struct {
+	tenants []tenant
+	most    float64 // of the goal
+}
 
 // over tells whether a transaction goes beyond its tenant's share.
 func (a *admission) over(i int) bool {
@@ -672,7 +679,7 @@
 	b.txs[id] = t
 	over := b.admit.over(a.Tenant)
 	h, e := b.choose(t)
-	most := admitMost
+	most := b.admit.most
 	if over {
 		most = overAdmit
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -170,5 +170,8 @@
 // LoadSource says how hosts and gateways tell of load.
 type LoadSource struct{ ByProbe, Tells bool }
 
-// Price is what crossing a zone costs, as a share of the mean revenue of a transaction.
-type Price struct{ Crossing float64 }
+// Price says what costs revenue beside the transaction's own.
+type Price struct {
+	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
+	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
+}
