--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
-	admitMost   = 1.1                    // of the goal: expected time over which a transaction is rolled back
+	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	overAdmit   = 0.3                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that is still within it
@@ -684,7 +684,7 @@
 		most = overAdmit
 	}
 	// An idle host is always worth a hop: it alone shows that an estimate is out of date.
-	if h == nil || e > most*float64(p.Goal) && h.own > 0 {
+	if h == nil || e > (most+p.LateRevenue/2)*float64(p.Goal) && h.own > 0 {
 		b.shed++
 		b.finish(t)
 		return
