Late bonus within the share only; over the share yield from 0.2 of the goal

Cause: tenants over their share, whose traffic is worth a twentieth, kept hosts busy past what those within it could bear.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
-	overAdmit   = 0.3                    // the same for a tenant over its share
+	overAdmit   = 0.2                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that is still within it
 	goalSlack   = 5 * time.Millisecond   // an answer must leave this much before the goal to reach its client
 	copyEarly   = 1.5                    // expected times before a second copy, at the least
@@ -679,12 +679,12 @@
 	b.txs[id] = t
 	over := b.admit.over(a.Tenant)
 	h, e := b.choose(t)
-	most := b.admit.most
+	most := b.admit.most + p.LateRevenue/2
 	if over {
 		most = overAdmit
 	}
 	// An idle host is always worth a hop: it alone shows that an estimate is out of date.
-	if h == nil || e > (most+p.LateRevenue/2)*float64(p.Goal) && h.own > 0 {
+	if h == nil || e > most*float64(p.Goal) && h.own > 0 {
 		b.shed++
 		b.finish(t)
 		return
