--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -233,11 +233,12 @@
 			in.Take(s.now, id, a)
 		}
 	case "response":
-		id, n, host := logic.TxID(f.int()), int(f.int()), logic.HostID(f.int())
+		id, n := logic.TxID(f.int()), int(f.int())
+		f.int() // the host, which the hop names already
 		end, took := f.end(), f.span()
 		over, load := f.int() == 1, f.load()
 		if f.err == nil {
-			in.HopEnded(s.now, id, n, host, logic.Result{End: end, Took: took, Load: load}, over)
+			in.HopEnded(s.now, id, n, logic.Result{End: end, Took: took, Load: load}, over)
 		}
 	case "echo":
 		host, end := logic.HostID(f.int()), f.text()
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,114 @@
+package logic
+
+import "time"
+
+// Balancer decides for one gateway. Its parts each own their state: the host table, the health of each host,
+// admission, and each transaction's path.
+type Balancer struct {
+	out      Out
+	place    Place
+	profiles []Profile
+	hops     HopRule
+	loads    LoadSource
+	price    Price
+	table    table
+	admit    admission
+	txs      map[TxID]*tx
+
+	now      time.Duration
+	nextTick time.Duration
+	ticks    int
+	due      []dueItem     // by time
+	armed    time.Duration // when the timer set falls due, 0 for none
+	seed     uint32        // chance comes from this
+	draws    uint32        // and from the number of draws so far
+
+	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	revenue average         // of the transactions taken
+	told    []time.Duration // by gateway: when it last told, 0 for not lately
+	shed    int             // rolled back on arrival since the last slow tick
+	spilt   int             // hops into other zones since then
+}
+
+// average is a smoothed value that trusts its first samples.
+type average struct{ value, n float64 }
+
+type dueItem struct {
+	at time.Duration
+	do func()
+}
+
+type table struct {
+	byID     map[HostID]*host
+	ready    []*host   // by id
+	groups   [][]*host // ready hosts by zone, as in zones
+	zones    []string  // the own one first
+	cold     ColdRule
+	gateways int
+	asks     int // calls for the list lost in a row
+}
+
+type host struct {
+	Host
+	own    int    // hops of this gateway out
+	others int    // hops of the other gateways out, as told
+	told   []byte // the same by gateway
+	health
+	sent []time.Duration // hops within the last TipAfter, kept while cold
+}
+
+type health struct {
+	weight  float64
+	bad     bool          // a failure, full answer or time-out since the last slow tick
+	pace    average       // times the usual time of a profile, with a core free
+	lat     average       // time of an answer, waits included
+	load    average       // hops out of all gateways
+	slots   float64       // hops in work at once, where reports show it
+	busy    float64       // reported utilisation
+	busyAt  time.Duration // when that came, 0 for never
+	waiting time.Duration // since when hops are out without any answer, 0 if none
+	whole   breaker
+	by      []breaker // by profile
+}
+
+type breaker struct {
+	row    int           // failures in a row
+	share  float64       // smoothed share of errors
+	open   bool          // no hops but trials
+	trying bool          // a trial is out
+	until  time.Duration // when the next trial is due
+	cool   time.Duration // the cooldown before it
+}
+
+type choice struct {
+	host             *host
+	expected, weight float64
+}
+
+type admission struct {
+	tenants []tenant
+	most    float64 // of the goal: expected time over which a transaction is rolled back on arrival
+}
+
+// tenant counts in transactions a second of this gateway.
+type tenant struct{ quota, rate, tokens, taken float64 }
+
+type tx struct {
+	id      TxID
+	profile int
+	prof    *Profile
+	key     string
+	stop    time.Duration // when an answer earns nothing more, or the budget ends
+	hops    []hop
+	out     int  // hops out
+	done    bool // it has its final answer, or its stream has begun
+}
+
+type hop struct {
+	host *host
+	at   time.Duration
+	load float64 // hops at the host when it was sent, itself included
+	over bool
+	end  End
+	then func() // what comes next where the hop has not answered
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -17,7 +17,7 @@
 	// Take accepts a transaction, which is owed one final answer within its budget.
 	Take(now time.Duration, id TxID, a Arrival)
 	// HopEnded reports the one outcome of a hop; over says that the transaction has its final answer.
-	HopEnded(now time.Duration, id TxID, hop int, host HostID, r Result, over bool)
+	HopEnded(now time.Duration, id TxID, hop int, r Result, over bool)
 	// Begun reports that a streamed answer has begun: from here on the transaction is its host's.
 	Begun(now time.Duration, id TxID, hop int)
 	// Left reports that nobody waits for a transaction any more.
