--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,7 @@
 	silentLeast = 20 * time.Millisecond  // network noise on top of that
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
+	crowdFree   = 2.0                    // hops a slot up to which a host is never near full, however slow it is
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
@@ -414,7 +415,8 @@
 			if h == nil {
 				continue
 			}
-			if i == 0 && (h.trialDue(t.profile, b.now) || e <= near && b.busy(g) < busyFull) {
+			crowd := float64(h.own+h.others+1) / h.slots
+			if i == 0 && (h.trialDue(t.profile, b.now) || crowd <= crowdFree || e <= near && b.busy(g) < busyFull) {
 				return h, e
 			}
 			if i > 0 {
