--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,7 @@
 	silentLeast = 20 * time.Millisecond  // network noise on top of that
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
-	crowdFree   = 2.0                    // hops a slot up to which a host is never near full, however slow it is
+	crowdFree   = 1.0                    // hops a slot, the new one too, up to which a host is never near full
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
