--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -52,6 +52,7 @@
 	Report struct {
 		Via string `json:"via"`
 	} `json:"report"`
+	RevenueBy string `json:"revenueBy"`
 	Specifics struct {
 		WarmKeys bool `json:"warmKeys"`
 	} `json:"specifics"`
@@ -97,6 +98,7 @@
 			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
 		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling},
 		logic.LoadSource{ByProbe: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell},
-		logic.Price{Crossing: o.Prices.CrossZone, Misses: o.Blend.Tail > 0})
+		logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
+			Misses: o.Blend.Tail > 0})
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,11 +39,13 @@
 	silentLeast = 20 * time.Millisecond  // network noise on top of that
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
-	crowdFree   = 1.0                    // hops a slot, the new one too, up to which a host is never near full
+	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
+	yieldFrom   = 2.0                    // times the revenue for the same work to which a profile yields
+	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	overAdmit   = 0.2                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that still counts as within
 	rateStep    = 0.3                    // smoothing of a tenant's rate: about three seconds
@@ -527,6 +529,24 @@
 	}
 }
 
+// patience is the expected time over which a transaction is rolled back on arrival: a part of its goal, and short
+// enough that it yields to profiles that earn far more for the same work before these are pressed themselves.
+func (b *Balancer) patience(profile int) float64 {
+	earns := func(i int) float64 {
+		if b.price.ByWork {
+			return b.profiles[i].Revenue
+		}
+		return b.profiles[i].Revenue / b.work[i].value
+	}
+	most := (b.admit.most + b.profiles[profile].LateRevenue/2) * float64(b.profiles[profile].Goal)
+	for i, p := range b.profiles {
+		if earns(i) > yieldFrom*earns(profile) {
+			most = min(most, yieldPart*b.admit.most*float64(p.Goal)*b.work[profile].value/b.work[i].value)
+		}
+	}
+	return most
+}
+
 // A transaction's path.
 
 // ran is the first hop that may have run, or still may.
@@ -565,13 +585,13 @@
 	}
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
-	most := b.admit.most + p.LateRevenue/2
+	most := b.patience(a.Profile)
 	if b.admit.over(a.Tenant) {
-		most = overAdmit
+		most = min(most, overAdmit*float64(p.Goal))
 	}
 	h, e := b.choose(t)
 	// An idle host is always worth a hop: nothing else shows that an estimate is out of date.
-	if h == nil || e > most*float64(p.Goal) && h.own > 0 {
+	if h == nil || e > most && h.own > 0 {
 		b.shed++
 		b.finish(t)
 		return
--- a/logic/types.go
+++ b/logic/types.go
@@ -173,5 +173,6 @@
 // Price says what costs revenue beside the transaction's own.
 type Price struct {
 	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
+	ByWork   bool    // revenue is counted for each unit of work
 	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
 }
