--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
-	yieldFrom   = 2.0                    // times the revenue for the same work to which a profile yields
+	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	overAdmit   = 0.2                    // the same for a tenant over its share
 	overSlack   = 1.2                    // a tenant's traffic over its portion that still counts as within
@@ -418,7 +418,8 @@
 				continue
 			}
 			crowd := float64(h.own+h.others+1) / h.slots
-			if i == 0 && (h.trialDue(t.profile, b.now) || crowd <= crowdFree || e <= near && b.busy(g) < busyFull) {
+			if i == 0 && (h.trialDue(t.profile, b.now) || e <= near && b.busy(g) < busyFull ||
+				crowd <= crowdFree && e <= b.patience(t.profile)) {
 				return h, e
 			}
 			if i > 0 {
