--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,8 +47,9 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	overAdmit   = 0.2                    // the same for a tenant over its share
-	overSlack   = 1.2                    // a tenant's traffic over its portion that still counts as within
-	rateStep    = 0.3                    // smoothing of a tenant's rate: about three seconds
+	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
+	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
+	rateStep    = 0.1                    // smoothing of a tenant's rate: about ten seconds
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	copyEarly   = 1.5                    // expected times before a second copy, at the least
 	copyLate    = 2.5                    // and at the most
@@ -509,7 +510,7 @@
 	t := &a.tenants[i]
 	t.taken++
 	t.tokens--
-	return t.rate > 0 && t.tokens < 0
+	return t.greedy && t.tokens < 0
 }
 
 // refill gives each tenant the tokens of a further second. A gateway does not know its part of the traffic: it is
@@ -518,14 +519,16 @@
 	var parts []float64
 	for i := range a.tenants {
 		t := &a.tenants[i]
-		t.rate += rateStep * (t.taken/seconds - t.rate)
+		t.rate.add(t.taken/seconds, rateStep)
 		t.taken = 0
-		parts = append(parts, t.rate/t.quota)
+		parts = append(parts, t.rate.value/t.quota)
 	}
 	slices.Sort(parts)
 	for i := range a.tenants {
 		t := &a.tenants[i]
-		grant := t.quota * max(1/gateways, parts[len(parts)/2]) * overSlack * seconds
+		portion := t.quota * max(1/gateways, parts[len(parts)/2])
+		t.greedy = t.rate.value > greedyFrom*portion
+		grant := portion * overSlack * seconds
 		t.tokens = min(max(t.tokens, 0)+grant, 2*grant)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -91,7 +91,11 @@
 }
 
 // tenant counts in transactions a second of this gateway.
-type tenant struct{ quota, rate, tokens, taken float64 }
+type tenant struct {
+	quota, tokens, taken float64
+	rate                 average
+	greedy               bool // it sends far more than its portion
+}
 
 type tx struct {
 	id      TxID
