--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,7 +55,7 @@
 	copyLate    = 2.5                    // and at the most
 	toldAge     = time.Second            // what a gateway told counts for this long: ten tells
 	tellBytes   = 256                    // the longest message
-	coldPart    = 0.6                    // of its share of a cold host's budget: hosts of a kind differ by as much
+	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 	loadStep    = 0.05                   // smoothing of a host's load, a tick: two seconds
 )
 
@@ -242,7 +242,7 @@
 }
 
 // coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, whatever the
-// other gateways do. What the host can do is judged by the warm host of its kind that gets most through.
+// other gateways do. What the host can do is judged from what warm hosts like it get through.
 func (t *table) coldRoom(h *host, now time.Duration) bool {
 	if !t.isCold(h, now) {
 		return true
@@ -250,17 +250,12 @@
 	for len(h.sent) > 0 && now-h.sent[0] >= t.cold.TipAfter {
 		h.sent = h.sent[1:]
 	}
-	through, any := 0.0, average{} // hops a nanosecond
-	for _, o := range t.ready {
+	through := t.like(h.Kind, func(o *host) average {
 		if t.isCold(o, now) || o.lat.n == 0 {
-			continue
-		}
-		any.add(o.load.value/o.lat.value, 0)
-		if o.Kind == h.Kind {
-			through = max(through, o.load.value/o.lat.value)
+			return average{}
 		}
-	}
-	through = cmp.Or(through, any.value)
+		return average{o.load.value / o.lat.value, 1}
+	})
 	share := t.cold.From + (1-t.cold.From)*float64(now-h.Started)/float64(t.cold.WarmUp)
 	budget := share * t.cold.Multiple * through * float64(t.cold.TipAfter) / float64(t.gateways)
 	return float64(len(h.sent)) < max(1, math.Floor(coldPart*budget))
