--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,6 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 3.0                    // hops a slot over which a host gets no more done and only slows down
 	overAdmit   = 0.2                    // the same for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
@@ -201,7 +200,7 @@
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
 			pace := t.like(entry.Kind, func(o *host) average { return o.pace })
-			h.health = health{weight: 1, slots: 1, pace: average{value: cmp.Or(pace, 1)},
+			h.health = health{weight: 1, pace: average{value: cmp.Or(pace, 1)},
 				by: make([]breaker, len(b.profiles))}
 			h.sent = nil
 		}
@@ -329,12 +328,15 @@
 		float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))+float64(silentLeast)
 }
 
+// slots is how many hops a host works on at once: one, unless its reports show more.
+func (h *host) slots() float64 { return max(1, h.places.value) }
+
 func (h *host) report(l Load, now time.Duration) {
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
 	if l.Waiting > 0 && l.Held > l.Waiting {
-		h.slots = max(1, h.slots+paceStep*(l.Held-l.Waiting-h.slots))
+		h.places.add(l.Held-l.Waiting, paceStep)
 	}
 }
 
@@ -346,7 +348,7 @@
 	if h.waiting = b.now; h.own == 0 {
 		h.waiting = 0
 	}
-	crowd, work, took := max(1, k.load/h.slots), &b.work[profile], float64(r.Took)
+	crowd, work, took := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took)
 	bad, errs := false, false
 	switch r.End {
 	case Committed:
@@ -404,7 +406,7 @@
 
 // expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * max(1, float64(h.own+h.others+1)/h.slots)
+	return b.work[profile].value * h.pace.value * max(1, float64(h.own+h.others+1)/h.slots())
 }
 
 // choose takes the own group unless that is near full, else the group that promises most, the price of a crossing
@@ -419,7 +421,7 @@
 			if h == nil {
 				continue
 			}
-			crowd := float64(h.own+h.others+1) / h.slots
+			crowd := float64(h.own+h.others+1) / h.slots()
 			if i == 0 && (h.trialDue(t.profile, b.now) || e <= near && b.busy(g) < busyFull ||
 				crowd <= crowdFree && e <= b.patience(t.profile)) {
 				return h, e
@@ -549,7 +551,7 @@
 			most = min(most, yieldPart*b.admit.most*float64(p.Goal)*b.work[profile].value/b.work[i].value)
 		}
 	}
-	return min(most, crowdMost*b.work[profile].value)
+	return most
 }
 
 // A transaction's path.
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,7 +63,7 @@
 	pace    average       // times the usual time of a profile, with a core free
 	lat     average       // time of an answer, waits included
 	load    average       // hops out of all gateways
-	slots   float64       // hops in work at once, where reports show it
+	places  average       // hops in work while others wait, where reports show it
 	busy    float64       // reported utilisation
 	busyAt  time.Duration // when that came, 0 for never
 	waiting time.Duration // since when hops are out without any answer, 0 if none
