--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
+	crowdMost   = 5.0                    // hops a slot over which a host gets no more done and only slows down
 	overAdmit   = 0.2                    // the same for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
@@ -545,10 +546,14 @@
 		}
 		return b.profiles[i].Revenue / b.work[i].value
 	}
-	most := (b.admit.most + b.profiles[profile].LateRevenue/2) * float64(b.profiles[profile].Goal)
-	for i, p := range b.profiles {
+	bears := func(i int) float64 {
+		p := &b.profiles[i]
+		return min((b.admit.most+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.work[i].value)
+	}
+	most := bears(profile)
+	for i := range b.profiles {
 		if earns(i) > yieldFrom*earns(profile) {
-			most = min(most, yieldPart*b.admit.most*float64(p.Goal)*b.work[profile].value/b.work[i].value)
+			most = min(most, yieldPart*bears(i)*b.work[profile].value/b.work[i].value)
 		}
 	}
 	return most
