--- a/logic/logic.go
+++ b/logic/logic.go
@@ -415,7 +415,8 @@
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	goal := float64(t.prof.Goal)
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
-	near := min(fullFrom+2*dear, fullMost) * goal
+	near, most := min(fullFrom+2*dear, fullMost)*goal, b.patience(t.profile)
+	least := 0.0
 	for _, barred := range []bool{false, true} {
 		for i, g := range b.table.groups {
 			h, e := b.draw(g, t, barred, near)
@@ -423,15 +424,19 @@
 				continue
 			}
 			crowd := float64(h.own+h.others+1) / h.slots()
-			if i == 0 && (h.trialDue(t.profile, b.now) || e <= near && b.busy(g) < busyFull ||
-				crowd <= crowdFree && e <= b.patience(t.profile)) {
+			if i == 0 && (h.trialDue(t.profile, b.now) ||
+				e <= most && (crowd <= crowdFree || e <= near && b.busy(g) < busyFull)) {
 				return h, e
 			}
+			cost := e
 			if i > 0 {
-				e += dear * goal / 2
+				cost += dear * goal / 2
 			}
-			if pick == nil || e < expected {
-				pick, expected = h, e
+			if e > most {
+				cost += goal // a dear crossing is better than a rollback
+			}
+			if pick == nil || cost < least {
+				pick, expected, least = h, e, cost
 			}
 		}
 		if pick != nil {
