--- a/logic/logic.go
+++ b/logic/logic.go
@@ -420,8 +420,8 @@
 	for _, barred := range []bool{false, true} {
 		for i, g := range b.table.groups {
 			h, e := b.draw(g, t, barred, near)
-			if h == nil {
-				continue
+			if h == nil || i > 0 && e > most*(1-dear) {
+				continue // where all zones are full a crossing only moves the jam about
 			}
 			crowd := float64(h.own+h.others+1) / h.slots()
 			if i == 0 && (h.trialDue(t.profile, b.now) ||
