--- a/logic/logic.go
+++ b/logic/logic.go
@@ -419,8 +419,12 @@
 	least := 0.0
 	for _, barred := range []bool{false, true} {
 		for i, g := range b.table.groups {
-			h, e := b.draw(g, t, barred, near)
-			if h == nil || i > 0 && e > most*(1-dear) {
+			most := most
+			if i > 0 {
+				most *= 1 - dear
+			}
+			h, e := b.draw(g, t, barred, min(near, most))
+			if h == nil || i > 0 && e > most {
 				continue // where all zones are full a crossing only moves the jam about
 			}
 			crowd := float64(h.own+h.others+1) / h.slots()
