--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
+	forget      = 0.2                    // of a pace over the usual, a second without answers: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
@@ -161,6 +162,12 @@
 	if b.ticks%slowTick != 0 {
 		return
 	}
+	for _, h := range b.table.ready {
+		// A host seen slow, as cold ones are, gets no hops that would show it well again: its pace is forgotten.
+		if usual := b.table.usualPace(h.Kind); b.now-h.answered > slowTick*tick && h.pace.value > usual {
+			h.pace.value += forget * (usual - h.pace.value)
+		}
+	}
 	for _, g := range b.table.groups {
 		reweigh(g)
 	}
@@ -200,8 +207,7 @@
 		}
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
-			pace := t.like(entry.Kind, func(o *host) average { return o.pace })
-			h.health = health{weight: 1, pace: average{value: cmp.Or(pace, 1)},
+			h.health = health{weight: 1, pace: average{value: t.usualPace(entry.Kind)},
 				by: make([]breaker, len(b.profiles))}
 			h.sent = nil
 		}
@@ -238,6 +244,10 @@
 	return all.value
 }
 
+func (t *table) usualPace(kind string) float64 {
+	return cmp.Or(t.like(kind, func(h *host) average { return h.pace }), 1)
+}
+
 func (t *table) isCold(h *host, now time.Duration) bool {
 	return h.Started > 0 && now-h.Started < t.cold.WarmUp
 }
@@ -353,6 +363,7 @@
 	bad, errs := false, false
 	switch r.End {
 	case Committed:
+		h.answered = b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,17 +58,18 @@
 }
 
 type health struct {
-	weight  float64
-	bad     bool          // a failure, full answer or time-out since the last slow tick
-	pace    average       // times the usual time of a profile, with a core free
-	lat     average       // time of an answer, waits included
-	load    average       // hops out of all gateways
-	places  average       // hops in work while others wait, where reports show it
-	busy    float64       // reported utilisation
-	busyAt  time.Duration // when that came, 0 for never
-	waiting time.Duration // since when hops are out without any answer, 0 if none
-	whole   breaker
-	by      []breaker // by profile
+	weight   float64
+	bad      bool          // a failure, full answer or time-out since the last slow tick
+	pace     average       // times the usual time of a profile, with a core free
+	lat      average       // time of an answer, waits included
+	load     average       // hops out of all gateways
+	places   average       // hops in work while others wait, where reports show it
+	busy     float64       // reported utilisation
+	busyAt   time.Duration // when that came, 0 for never
+	answered time.Duration // when it last did
+	waiting  time.Duration // since when hops are out without any answer, 0 if none
+	whole    breaker
+	by       []breaker // by profile
 }
 
 type breaker struct {
