--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,8 @@
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
-	forget      = 0.2                    // of a pace over the usual, a second without answers: gone in some ten
+	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
+	forgetFrom  = 2 * time.Second        // without an answer, before that begins
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
@@ -67,7 +68,7 @@
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, loads: loads, price: price,
 		seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed)), txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
-		table: table{byID: map[HostID]*host{}, cold: cold, gateways: place.Gateways},
+		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways},
 		admit: admission{most: admitMost}}
 	if price.Misses {
 		b.admit.most = admitTail
@@ -164,7 +165,7 @@
 	}
 	for _, h := range b.table.ready {
 		// A host seen slow, as cold ones are, gets no hops that would show it well again: its pace is forgotten.
-		if usual := b.table.usualPace(h.Kind); b.now-h.answered > slowTick*tick && h.pace.value > usual {
+		if usual := b.table.usualPace(h.Kind); b.now-h.answered > forgetFrom && h.pace.value > usual {
 			h.pace.value += forget * (usual - h.pace.value)
 		}
 	}
@@ -206,9 +207,12 @@
 			t.byID[entry.ID] = h
 		}
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
+			if t.places[entry.Kind] == nil {
+				t.places[entry.Kind] = &average{}
+			}
 			// A host that has started again is cold and without a record; what is out to it still counts.
 			h.health = health{weight: 1, pace: average{value: t.usualPace(entry.Kind)},
-				by: make([]breaker, len(b.profiles))}
+				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}
 			h.sent = nil
 		}
 		h.Host = entry
@@ -339,15 +343,15 @@
 		float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))+float64(silentLeast)
 }
 
-// slots is how many hops a host works on at once: one, unless its reports show more.
+// slots is how many hops a host works on at once: one, unless reports of its kind show more.
 func (h *host) slots() float64 { return max(1, h.places.value) }
 
 func (h *host) report(l Load, now time.Duration) {
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
-	if l.Waiting > 0 && l.Held > l.Waiting {
-		h.places.add(l.Held-l.Waiting, paceStep)
+	if l.Held > 0 && (l.Waiting > 0 || l.Waiting == 0 && l.Held > h.places.value) {
+		h.places.add(max(1, l.Held-l.Waiting), paceStep)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -40,9 +40,10 @@
 
 type table struct {
 	byID     map[HostID]*host
-	ready    []*host   // by id
-	groups   [][]*host // ready hosts by zone, as in zones
-	zones    []string  // the own one first
+	places   map[string]*average // by kind: hops in work at a full host, where reports show it
+	ready    []*host             // by id
+	groups   [][]*host           // ready hosts by zone, as in zones
+	zones    []string            // the own one first
 	cold     ColdRule
 	gateways int
 	asks     int // calls for the list lost in a row
@@ -63,8 +64,8 @@
 	pace     average       // times the usual time of a profile, with a core free
 	lat      average       // time of an answer, waits included
 	load     average       // hops out of all gateways
-	places   average       // hops in work while others wait, where reports show it
 	busy     float64       // reported utilisation
+	places   *average      // hops in work at a full host of the kind, where reports show it
 	busyAt   time.Duration // when that came, 0 for never
 	answered time.Duration // when it last did
 	waiting  time.Duration // since when hops are out without any answer, 0 if none
