--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	forgetFrom  = 2 * time.Second        // without an answer, before that begins
+	priorPaces  = 3.0                    // answers for which the usual pace of a kind counts at a new host
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
@@ -163,6 +164,14 @@
 	if b.ticks%slowTick != 0 {
 		return
 	}
+	// Paces are kept around 1, so that a profile's work is what it takes on a usual host.
+	mean := b.table.usualPace("")
+	for i := range b.work {
+		b.work[i].value *= mean
+	}
+	for _, h := range b.table.ready {
+		h.pace.value /= mean
+	}
 	for _, h := range b.table.ready {
 		// A host seen slow, as cold ones are, gets no hops that would show it well again: its pace is forgotten.
 		if usual := b.table.usualPace(h.Kind); b.now-h.answered > forgetFrom && h.pace.value > usual {
@@ -211,7 +220,7 @@
 				t.places[entry.Kind] = &average{}
 			}
 			// A host that has started again is cold and without a record; what is out to it still counts.
-			h.health = health{weight: 1, pace: average{value: t.usualPace(entry.Kind)},
+			h.health = health{weight: 1, pace: average{t.usualPace(entry.Kind), priorPaces},
 				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}
 			h.sent = nil
 		}
