--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,7 +49,7 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 5.0                    // hops a slot over which a host gets no more done and only slows down
+	crowdMost   = 2.5                    // hops a slot over which a host gets no more done and only slows down
 	overAdmit   = 0.2                    // the same for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
