--- a/logic/logic.go
+++ b/logic/logic.go
@@ -174,7 +174,7 @@
 	}
 	for _, h := range b.table.ready {
 		// A host seen slow, as cold ones are, gets no hops that would show it well again: its pace is forgotten.
-		if usual := b.table.usualPace(h.Kind); b.now-h.answered > forgetFrom && h.pace.value > usual {
+		if usual := b.table.usualPace(h.Kind); b.now-h.paced > forgetFrom && h.pace.value > usual {
 			h.pace.value += forget * (usual - h.pace.value)
 		}
 	}
@@ -376,13 +376,14 @@
 	bad, errs := false, false
 	switch r.End {
 	case Committed:
-		h.answered = b.now
+		h.paced = b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
 	case TimedOut:
 		// Where all are slow hops time out everywhere; only one far over its expected time speaks of a hang.
-		bad = took > overdue*work.value*h.pace.value*crowd
+		h.paced = b.now
+		bad = took > overdue*work.value*crowd
 		h.lat.add(max(took, h.lat.value), paceStep)
 		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
 	case Error, Broken, NoConnection:
--- a/logic/state.go
+++ b/logic/state.go
@@ -59,18 +59,18 @@
 }
 
 type health struct {
-	weight   float64
-	bad      bool          // a failure, full answer or time-out since the last slow tick
-	pace     average       // times the usual time of a profile, with a core free
-	lat      average       // time of an answer, waits included
-	load     average       // hops out of all gateways
-	busy     float64       // reported utilisation
-	places   *average      // hops in work at a full host of the kind, where reports show it
-	busyAt   time.Duration // when that came, 0 for never
-	answered time.Duration // when it last did
-	waiting  time.Duration // since when hops are out without any answer, 0 if none
-	whole    breaker
-	by       []breaker // by profile
+	weight  float64
+	bad     bool          // a failure, full answer or time-out since the last slow tick
+	pace    average       // times the usual time of a profile, with a core free
+	lat     average       // time of an answer, waits included
+	load    average       // hops out of all gateways
+	busy    float64       // reported utilisation
+	places  *average      // hops in work at a full host of the kind, where reports show it
+	busyAt  time.Duration // when that came, 0 for never
+	paced   time.Duration // when an answer or time-out last said something of its pace
+	waiting time.Duration // since when hops are out without any answer, 0 if none
+	whole   breaker
+	by      []breaker // by profile
 }
 
 type breaker struct {
