--- a/logic/logic.go
+++ b/logic/logic.go
@@ -636,8 +636,9 @@
 		most = min(most, overAdmit*float64(p.Goal))
 	}
 	h, e := b.choose(t)
-	// An idle host is always worth a hop: nothing else shows that an estimate is out of date.
-	if h == nil || e > most && h.own > 0 {
+	// A host long without an answer is worth a hop: nothing else shows that its estimate is out of date. Every idle
+	// host would be too many, as with many gateways each holds few hops and its hosts are idle to it in any jam.
+	if h == nil || e > most && (h.own > 0 || b.now-h.paced < forgetFrom) {
 		b.shed++
 		b.finish(t)
 		return
