--- a/logic/logic.go
+++ b/logic/logic.go
@@ -144,7 +144,7 @@
 	b.ticks++
 	msg := make([]byte, 0, tellBytes)
 	for i, h := range b.table.ready {
-		h.load.add(h.held(b.now), loadStep)
+		h.load.add(float64(h.own+h.others), loadStep)
 		if h.own > 0 && len(msg)+5 <= tellBytes {
 			msg = append(binary.LittleEndian.AppendUint32(msg, uint32(h.ID)), byte(min(h.own, 255)))
 		}
@@ -355,21 +355,10 @@
 // slots is how many hops a host works on at once: one, unless reports of its kind show more.
 func (h *host) slots() float64 { return max(1, h.places.value) }
 
-// held is how many hops a host has, from all gateways: as told, or with the queue where hosts report no more than it.
-func (h *host) held(now time.Duration) float64 {
-	if h.queue > 0 && now-h.busyAt < busyAge {
-		return float64(h.own+h.others) + h.queue
-	}
-	return float64(h.own + h.others)
-}
-
 func (h *host) report(l Load, now time.Duration) {
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
-	if l.Held < 0 {
-		h.queue, h.busyAt = l.Waiting, now
-	}
 	if l.Held > 0 && (l.Waiting > 0 || l.Waiting == 0 && l.Held > h.places.value) {
 		h.places.add(max(1, l.Held-l.Waiting), paceStep)
 	}
@@ -443,7 +432,7 @@
 
 // expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * max(1, (h.held(b.now)+1)/h.slots())
+	return b.work[profile].value * h.pace.value * max(1, float64(h.own+h.others+1)/h.slots())
 }
 
 // choose takes the own group unless that is near full, else the group that promises most, the price of a crossing
@@ -463,7 +452,7 @@
 			if h == nil || i > 0 && e > most {
 				continue // where all zones are full a crossing only moves the jam about
 			}
-			crowd := (h.held(b.now) + 1) / h.slots()
+			crowd := float64(h.own+h.others+1) / h.slots()
 			if i == 0 && (h.trialDue(t.profile, b.now) ||
 				e <= most && (crowd <= crowdFree || e <= near && b.busy(g) < busyFull)) {
 				return h, e
@@ -672,7 +661,7 @@
 		h.waiting = b.now
 	}
 	t.out++
-	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.held(b.now), then: func() { b.next(t) }})
+	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() { b.next(t) }})
 	b.out.Hop(t.id, h.ID, t.stop-b.now)
 	if t.prof.Effect == NonIdempotent || !b.hops.SecondCopies || i+1 >= b.hops.Most {
 		return
--- a/logic/state.go
+++ b/logic/state.go
@@ -66,7 +66,6 @@
 	load    average       // hops out of all gateways
 	busy    float64       // reported utilisation
 	places  *average      // hops in work at a full host of the kind, where reports show it
-	queue   float64       // reported hops waiting, where hops held are not reported
 	busyAt  time.Duration // when that came, 0 for never
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, 0 if none
