--- a/internal/simwire/sender.go
+++ b/internal/simwire/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -68,14 +67,10 @@
 	s.end()
 }
 
-func (s *sender) Tell(msg []byte) {
+func (s *sender) Tell(held []logic.Held) {
 	s.begin("announce")
 	s.int(-1)
-	if len(msg) == 0 {
-		s.text("-")
-	} else {
-		s.text(hex.EncodeToString(msg))
-	}
+	s.text(heldText(held))
 	s.end()
 }
 
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -11,7 +11,6 @@
 // opening is the settings object with which an instance starts; what it holds beyond this is disregarded.
 type opening struct {
 	Balancers int      `json:"balancers"`
-	Me        int      `json:"me"`
 	MyZone    string   `json:"myZone"`
 	Zones     []string `json:"dcs"`
 	Profiles  []struct {
@@ -20,7 +19,6 @@
 		Group       string  `json:"group"`
 		Window      int64   `json:"window"`
 		ServiceGoal int64   `json:"serviceGoal"`
-		HardLimit   int64   `json:"hardLimit"`
 		Revenue     float64 `json:"revenue"`
 		LateRevenue float64 `json:"lateRevenue"`
 	} `json:"profiles"`
@@ -37,7 +35,9 @@
 		MaxRetryAfter int64 `json:"maxRetryAfter"`
 		SecondCopies  bool  `json:"secondCopies"`
 	} `json:"limits"`
+	Discovery   string `json:"discovery"`
 	Obligations struct {
+		AskWithin    int64   `json:"askWithin"`
 		ColdFrom     float64 `json:"coldFrom"`
 		FallMultiple float64 `json:"fallMultiple"`
 		TipAfter     int64   `json:"tipAfter"`
@@ -53,9 +53,6 @@
 		Via string `json:"via"`
 	} `json:"report"`
 	RevenueBy string `json:"revenueBy"`
-	Specifics struct {
-		WarmKeys bool `json:"warmKeys"`
-	} `json:"specifics"`
 }
 
 var effects = map[string]logic.Effect{
@@ -85,19 +82,28 @@
 		}
 		in.profiles[p.Name] = i
 		profiles[i] = logic.Profile{Name: p.Name, Effect: effect, Reach: reach, Window: micros(p.Window),
-			Goal: micros(p.ServiceGoal), Limit: micros(p.HardLimit), Revenue: p.Revenue, LateRevenue: p.LateRevenue}
+			Goal: micros(p.ServiceGoal), Revenue: p.Revenue, LateRevenue: p.LateRevenue}
 	}
 	tenants := make([]logic.Tenant, len(o.Parties))
 	for i, t := range o.Parties {
 		in.tenants[t.Name] = i
 		tenants[i] = logic.Tenant{Name: t.Name, Quota: t.Quota}
 	}
+	var back, askWithin time.Duration
+	if o.Limits.RetryAfter {
+		back = micros(o.Limits.MaxRetryAfter)
+	}
+	if o.Discovery == "subscribe" {
+		askWithin = micros(o.Obligations.AskWithin)
+	}
 	in.Gateway = logic.New(out, now, seed,
-		logic.Place{Me: o.Me, Gateways: o.Balancers, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
+		logic.Place{Gateways: o.Balancers, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
 		logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
 			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
-		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling},
-		logic.LoadSource{ByProbe: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell},
+		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling,
+			BackMost: back},
+		logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
+			AskWithin: askWithin},
 		logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
 			Misses: o.Blend.Tail > 0})
 	return in, nil
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -215,9 +214,11 @@
 	switch name {
 	case "ingress":
 		id := logic.TxID(f.int())
-		f.int() // what the bits say, no decision needs so far
-		tenant, key, budget := f.text(), f.text(), f.span()
-		f.int() // nor the guess of the cost
+		f.int() // what the bits say: no decision needs it so far
+		tenant := f.text()
+		f.text() // nor the key
+		budget := f.span()
+		f.int() // nor the guess of its cost
 		profile, known := in.profiles[string(f.rest)]
 		if !known && f.err == nil {
 			f.fail("unknown profile %q", f.rest)
@@ -226,9 +227,6 @@
 		if t, ok := in.tenants[string(tenant)]; ok {
 			a.Tenant = t
 		}
-		if !absent(key) {
-			a.Key = string(key)
-		}
 		if f.err == nil {
 			in.Take(s.now, id, a)
 		}
@@ -252,16 +250,12 @@
 		}
 	case "whisper":
 		from := int(f.int())
-		text := f.text()
-		if absent(text) {
-			text = nil
-		}
-		msg := make([]byte, hex.DecodedLen(len(text)))
-		if _, err := hex.Decode(msg, text); err != nil {
+		held, err := readHeld(f.text())
+		if err != nil {
 			f.fail("message: %w", err)
 		}
 		if f.err == nil {
-			in.Told(s.now, from, msg)
+			in.Told(s.now, from, held)
 		}
 	case "abandoned":
 		if id := logic.TxID(f.int()); f.err == nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,7 +21,7 @@
 	slowTick    = 10                     // ticks between weight changes: a second, as the decision record has it
 	askJitter   = 400 * time.Millisecond // spreads the first calls for the list; about a call's time
 	askAgain    = time.Second            // first delay after a lost list, doubled each time
-	askMost     = 4 * time.Second        // longest delay: seconds of stale list, as lists come seconds late anyway
+	askMost     = 4 * time.Second        // longest delay, lists being seconds late anyway; less where it must be
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
 	shareToOpen = 0.25                   // share of errors that opens it: two close together
 	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
@@ -58,22 +59,17 @@
 	copyEarly   = 1.5                    // expected times before a second copy, at the least
 	copyLate    = 2.5                    // and at the most
 	toldAge     = time.Second            // what a gateway told counts for this long: ten tells
-	tellBytes   = 256                    // the longest message
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 	loadStep    = 0.05                   // smoothing of a host's load, a tick: two seconds
 )
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
 func New(out Out, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
-	cold ColdRule, hops HopRule, loads LoadSource, price Price) *Balancer {
-	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, loads: loads, price: price,
+	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
+	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed)), txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
-		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways},
-		admit: admission{most: admitMost}}
-	if price.Misses {
-		b.admit.most = admitTail
-	}
+		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
 	b.table.zones = append(slices.Clone(place.Zones[own:]), place.Zones[:own]...)
 	for _, t := range tenants {
@@ -82,8 +78,10 @@
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
 	}
-	b.nextTick = now + tick
-	b.at(now+time.Duration(b.chance()*float64(askJitter)), out.AskList)
+	b.at(now+tick, b.periodic)
+	if from.AskWithin > 0 {
+		b.at(now+time.Duration(b.chance()*float64(min(askJitter, from.AskWithin))), out.AskList)
+	}
 	return b
 }
 
@@ -92,16 +90,11 @@
 // chance draws evenly from [0, 1).
 func (b *Balancer) chance() float64 {
 	b.draws++
-	sum := crc32.Update(b.seed, crc32.IEEETable, binary.LittleEndian.AppendUint64(nil, uint64(b.draws)*uint64(b.seed|1)))
-	return float64(sum) / (1 << 32)
-}
-
-func (a *average) add(x, step float64) {
-	a.n++
-	a.value += max(step, 1/a.n) * (x - a.value)
+	mixed := binary.LittleEndian.AppendUint64(nil, uint64(b.draws)*uint64(b.seed|1))
+	return float64(crc32.Update(b.seed, crc32.IEEETable, mixed)) / (1 << 32)
 }
 
-// at keeps the due times other than the periodic one, in order.
+// at keeps the due times in order, the periodic one among them, and the one timer set for the first.
 func (b *Balancer) at(when time.Duration, do func()) {
 	i := len(b.due)
 	for i > 0 && b.due[i-1].at > when {
@@ -112,72 +105,50 @@
 }
 
 func (b *Balancer) arm() {
-	when := b.nextTick
-	if len(b.due) > 0 {
-		when = min(when, b.due[0].at)
-	}
-	if b.armed == 0 || when < b.armed {
-		b.armed = when
-		b.out.SetTimer(when - b.now)
+	if first := b.due[0].at; b.armed == 0 || first < b.armed {
+		b.armed = first
+		b.out.SetTimer(first - b.now)
 	}
 }
 
 func (b *Balancer) Timer(now time.Duration) {
-	b.now = now
-	if now < b.armed {
+	if b.now = now; now < b.armed {
 		return // set earlier, and replaced since by a nearer one
 	}
-	b.armed = 0
 	for len(b.due) > 0 && b.due[0].at <= now {
 		do := b.due[0].do
 		b.due = slices.Delete(b.due, 0, 1)
 		do()
 	}
-	if now >= b.nextTick {
-		b.nextTick = now + tick
-		b.periodic()
-	}
+	b.armed = 0
 	b.arm()
 }
 
 func (b *Balancer) periodic() {
+	b.at(b.now+tick, b.periodic)
 	b.ticks++
-	msg := make([]byte, 0, tellBytes)
+	var held []Held
 	for i, h := range b.table.ready {
 		h.load.add(float64(h.own+h.others), loadStep)
-		if h.own > 0 && len(msg)+5 <= tellBytes {
-			msg = append(binary.LittleEndian.AppendUint32(msg, uint32(h.ID)), byte(min(h.own, 255)))
+		if h.own > 0 {
+			held = append(held, Held{h.ID, h.own})
 		}
-		if b.loads.ByProbe && (b.ticks+i)%slowTick == 0 && !b.table.isCold(h, b.now) {
+		if b.from.Probes && (b.ticks+i)%slowTick == 0 && !b.table.isCold(h, b.now) {
 			b.out.Probe(h.ID)
 		}
 	}
-	if b.loads.Tells && b.place.Gateways > 1 {
-		b.out.Tell(msg)
+	if b.from.Tells && b.place.Gateways > 1 {
+		b.out.Tell(held)
 	}
 	for from, at := range b.told {
-		if at > 0 && b.now-at > toldAge {
+		if b.now-at > toldAge {
 			b.Told(b.now, from, nil)
-			b.told[from] = 0
 		}
 	}
 	if b.ticks%slowTick != 0 {
 		return
 	}
-	// Paces are kept around 1, so that a profile's work is what it takes on a usual host.
-	mean := b.table.usualPace("")
-	for i := range b.work {
-		b.work[i].value *= mean
-	}
-	for _, h := range b.table.ready {
-		h.pace.value /= mean
-	}
-	for _, h := range b.table.ready {
-		// A host seen slow, as cold ones are, gets no hops that would show it well again: its pace is forgotten.
-		if usual := b.table.usualPace(h.Kind); b.now-h.paced > forgetFrom && h.pace.value > usual {
-			h.pace.value += forget * (usual - h.pace.value)
-		}
-	}
+	b.settlePaces()
 	for _, g := range b.table.groups {
 		reweigh(g)
 	}
@@ -193,32 +164,32 @@
 func (b *Balancer) List(now time.Duration, kind ListKind, hosts []Host) {
 	b.now = now
 	t := &b.table
-	if kind == Lost {
-		wait := min(askAgain<<min(t.asks, 8), askMost)
-		t.asks++
-		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.asks))
+	switch kind {
+	case Lost:
+		t.lost++
+		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.lost))
 		// Spread, or all gateways would call again together and be late together.
-		b.at(now+time.Duration((0.5+b.chance())*float64(wait)), b.out.AskList)
+		wait := (0.5 + b.chance()/2) * float64(min(askAgain<<min(t.lost-1, 8), askMost, b.from.AskWithin))
+		b.at(now+time.Duration(wait), b.out.AskList)
 		return
-	}
-	if kind != Cached {
-		t.asks = 0
-	}
-	if kind != Changes {
+	case Whole, Cached:
 		for _, h := range t.byID {
 			h.State = Gone
 		}
 	}
+	if kind != Cached {
+		t.lost = 0
+	}
 	for _, entry := range hosts {
 		h := t.byID[entry.ID]
 		if h == nil {
-			h = &host{told: make([]byte, t.gateways)}
+			h = &host{told: make([]int, t.gateways)}
 			t.byID[entry.ID] = h
 		}
+		if t.places[entry.Kind] == nil {
+			t.places[entry.Kind] = &average{}
+		}
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
-			if t.places[entry.Kind] == nil {
-				t.places[entry.Kind] = &average{}
-			}
 			// A host that has started again is cold and without a record; what is out to it still counts.
 			h.health = health{weight: 1, pace: average{t.usualPace(entry.Kind), priorPaces},
 				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}
@@ -227,15 +198,12 @@
 		h.Host = entry
 	}
 	t.ready, t.groups = nil, make([][]*host, len(t.zones))
-	for _, h := range t.byID {
-		if h.State == Ready {
+	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
+		if h := t.byID[id]; h.State == Ready {
 			t.ready = append(t.ready, h)
-		}
-	}
-	slices.SortFunc(t.ready, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
-	for _, h := range t.ready {
-		if i := slices.Index(t.zones, h.Zone); i >= 0 {
-			t.groups[i] = append(t.groups[i], h)
+			if i := slices.Index(t.zones, h.Zone); i >= 0 {
+				t.groups[i] = append(t.groups[i], h)
+			}
 		}
 	}
 }
@@ -265,8 +233,8 @@
 	return h.Started > 0 && now-h.Started < t.cold.WarmUp
 }
 
-// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, whatever the
-// other gateways do. What the host can do is judged from what warm hosts like it get through.
+// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, whatever
+// the other gateways do. What the host can do is judged from what warm hosts like it get through.
 func (t *table) coldRoom(h *host, now time.Duration) bool {
 	if !t.isCold(h, now) {
 		return true
@@ -285,57 +253,50 @@
 	return float64(len(h.sent)) < max(1, math.Floor(coldPart*budget))
 }
 
-func (b *Balancer) Told(now time.Duration, from int, msg []byte) {
-	b.now = now
-	if from < 0 || from >= len(b.told) {
+func (b *Balancer) Told(now time.Duration, from int, held []Held) {
+	if b.now = now; from < 0 || from >= len(b.told) {
 		return
 	}
 	b.told[from] = now
 	for _, h := range b.table.ready {
-		h.others -= int(h.told[from])
+		h.others -= h.told[from]
 		h.told[from] = 0
 	}
-	for ; len(msg) >= 5; msg = msg[5:] {
-		if h := b.table.byID[HostID(binary.LittleEndian.Uint32(msg))]; h != nil && h.State == Ready {
-			h.others += int(msg[4]) - int(h.told[from])
-			h.told[from] = msg[4]
+	for _, k := range held {
+		if h := b.table.byID[k.Host]; h != nil && h.State == Ready {
+			h.others += k.Hops - h.told[from]
+			h.told[from] = k.Hops
 		}
 	}
 }
 
 // Health: breakers, latency and weight of a host.
 
-// note takes an outcome and tells whether the breaker changed. A good answer closes it only if a trial is out: late
-// answers to hops sent before it opened prove nothing. An error counts by its share too, since a host that errs on
-// half of its hops may never err five times in a row.
+// note takes an outcome and tells whether the breaker changed. A good answer closes it only if a trial is out:
+// late answers to hops sent before it opened prove nothing. An error counts by its share too, since a host that
+// errs on half of its hops may never err five times in a row.
 func (k *breaker) note(bad, errs bool, now time.Duration, chance float64) bool {
-	if !bad {
-		if k.open && !k.trying {
-			return false
-		}
-		was := k.open
-		k.row, k.open, k.trying = 0, false, false
+	was := k.open
+	switch {
+	case !bad && was && !k.trying:
+	case !bad:
+		k.row, k.open, k.trying, k.cool = 0, false, false, 0
 		k.share *= 1 - shareStep
 		if was {
 			k.share = min(k.share, shareToOpen/2) // the next error opens it again
 		}
-		return was
-	}
-	k.row++
-	if errs {
-		k.share += shareStep * (1 - k.share)
-	}
-	if k.open && !k.trying || !k.open && k.row < rowToOpen && k.share < shareToOpen {
-		return false
-	}
-	if !k.open {
-		k.cool = 0
+	default:
+		k.row++
+		if errs {
+			k.share += shareStep * (1 - k.share)
+		}
+		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen) {
+			k.open, k.trying = true, false
+			k.cool = min(max(2*k.cool, coolFirst), coolMost)
+			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
+		}
 	}
-	was := k.open
-	k.open, k.trying = true, false
-	k.cool = min(max(2*k.cool, coolFirst), coolMost)
-	k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
-	return !was
+	return k.open != was
 }
 
 func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
@@ -345,10 +306,10 @@
 	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
 }
 
-// silent tells whether a host takes work and answers nothing: for far longer than its hops out explain. It is passed
-// over until it answers, long before its hops time out.
+// silent tells whether a host takes work and answers nothing, for far longer than its hops out explain. It is
+// passed over until it answers, long before its hops time out.
 func (h *host) silent(now time.Duration) bool {
-	return h.own > 0 && h.waiting > 0 && h.lat.n > 0 &&
+	return h.own > 0 && h.lat.n > 0 &&
 		float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))+float64(silentLeast)
 }
 
@@ -368,12 +329,9 @@
 func (b *Balancer) learn(k *hop, profile int, r Result) {
 	h := k.host
 	h.own--
+	h.waiting = b.now
 	h.report(r.Load, b.now)
-	if h.waiting = b.now; h.own == 0 {
-		h.waiting = 0
-	}
-	crowd, work, took := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took)
-	bad, errs := false, false
+	crowd, work, took, bad := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took), false
 	switch r.End {
 	case Committed:
 		h.paced = b.now
@@ -381,30 +339,45 @@
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
 	case TimedOut:
-		// Where all are slow hops time out everywhere; only one far over its expected time speaks of a hang.
-		h.paced = b.now
-		bad = took > overdue*work.value*crowd
+		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang.
+		h.paced, h.bad, bad = b.now, true, took > overdue*work.value*crowd
 		h.lat.add(max(took, h.lat.value), paceStep)
 		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
 	case Error, Broken, NoConnection:
-		bad, errs = true, true
+		h.bad, bad = true, true
 	case Full:
+		h.bad = true
 	default:
 		h.whole.trying, h.by[profile].trying = false, false
-		return
 	}
-	h.bad = h.bad || r.End != Committed
 	if r.End != Committed && !bad {
 		return
 	}
 	for _, c := range []*breaker{&h.whole, &h.by[profile]} {
-		if c.note(bad, errs, b.now, b.chance()) {
+		if c.note(bad, r.End != TimedOut, b.now, b.chance()) {
 			b.out.Log(fmt.Sprintf("host %d profile %s: breaker open %t", h.ID, b.profiles[profile].Name, c.open))
 		}
 	}
 }
 
-// reweigh is the decision record's change of weights in a group. It keeps their mean at 1, where new hosts start.
+// settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow, as cold
+// ones are, gets no hops that would show it well again: without any, its pace is forgotten.
+func (b *Balancer) settlePaces() {
+	mean := b.table.usualPace("")
+	for i := range b.work {
+		b.work[i].value *= mean
+	}
+	for _, h := range b.table.ready {
+		h.pace.value /= mean
+	}
+	for _, h := range b.table.ready {
+		if usual := b.table.usualPace(h.Kind); b.now-h.paced > forgetFrom && h.pace.value > usual {
+			h.pace.value += forget * (usual - h.pace.value)
+		}
+	}
+}
+
+// reweigh is the decision record's change of weights in a group. Their mean stays 1, where new hosts start.
 func reweigh(g []*host) {
 	var lats []float64
 	for _, h := range g {
@@ -415,10 +388,8 @@
 	slices.Sort(lats)
 	sum := 0.0
 	for _, h := range g {
-		if h.bad || len(lats) > 0 && h.lat.value > slowFactor*lats[len(lats)/2] {
-			h.weight *= cutFactor
-		} else {
-			h.weight += raisePart
+		if h.weight += raisePart; h.bad || len(lats) > 0 && h.lat.value > slowFactor*lats[len(lats)/2] {
+			h.weight = cutFactor * (h.weight - raisePart)
 		}
 		h.bad = false
 		sum += h.weight
@@ -430,38 +401,39 @@
 
 // Group choice and draw.
 
+// crowd is how many hops a slot a host would hold with one more.
+func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
+
 // expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * max(1, float64(h.own+h.others+1)/h.slots())
+	return b.work[profile].value * h.pace.value * max(1, h.crowd())
 }
 
 // choose takes the own group unless that is near full, else the group that promises most, the price of a crossing
 // counted in; where every breaker is open, any allowed host.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
-	goal := float64(t.prof.Goal)
+	goal, least := float64(t.prof.Goal), 0.0
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
-	near, most := min(fullFrom+2*dear, fullMost)*goal, b.patience(t.profile)
-	least := 0.0
+	near := min(fullFrom+2*dear, fullMost) * goal
 	for _, barred := range []bool{false, true} {
 		for i, g := range b.table.groups {
-			most := most
+			most := b.patience(t.profile)
 			if i > 0 {
-				most *= 1 - dear
+				most *= 1 - dear // where all zones are full a crossing only moves the jam about
 			}
-			h, e := b.draw(g, t, barred, min(near, most))
+			h, e, busy := b.draw(g, t, barred, min(near, most))
 			if h == nil || i > 0 && e > most {
-				continue // where all zones are full a crossing only moves the jam about
+				continue
 			}
-			crowd := float64(h.own+h.others+1) / h.slots()
 			if i == 0 && (h.trialDue(t.profile, b.now) ||
-				e <= most && (crowd <= crowdFree || e <= near && b.busy(g) < busyFull)) {
+				e <= most && (h.crowd() <= crowdFree || e <= near && busy < busyFull)) {
 				return h, e
 			}
 			cost := e
-			if i > 0 {
+			switch {
+			case i > 0:
 				cost += dear * goal / 2
-			}
-			if e > most {
+			case e > most:
 				cost += goal // a dear crossing is better than a rollback
 			}
 			if pick == nil || cost < least {
@@ -475,67 +447,46 @@
 	return pick, expected
 }
 
-// busy is the mean reported utilisation of a group, 0 where nothing fresh is known.
-func (b *Balancer) busy(g []*host) float64 {
-	var mean average
-	for _, h := range g {
-		if h.busyAt > 0 && b.now-h.busyAt < busyAge {
-			mean.add(h.busy, 0)
-		}
-	}
-	return mean.value
-}
-
-// draw picks from a group by weight, and once more where the first is slower than the mean; where the pick is near
-// full all the same, the host that promises most.
-func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (*host, float64) {
-	var room [32]choice
-	open, best, weights, mean := room[:0], 0, 0.0, average{}
+// draw picks from a group by weight, and once more where the first is slower than the mean; where the pick takes
+// longer than near all the same, the host that promises most. With it comes the group's reported utilisation.
+func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
+	var second, best *host
+	var mean, busy average
+	var weights, e2, least float64
 	for _, h := range g {
-		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) {
-			continue
-		}
-		e := b.expect(h, t.profile)
-		if !barred && h.silent(b.now) {
+		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) || !barred && h.silent(b.now) {
 			continue
 		}
+		x := b.expect(h, t.profile)
 		if !barred && !h.closed(t.profile) {
 			// A trial must not cost a transaction that cannot run twice, unless its own profile is on trial.
 			if h.trialDue(t.profile, b.now) && (t.prof.Effect != NonIdempotent || !h.whole.open) {
-				return h, e
+				return h, x, 0
 			}
 			continue
 		}
-		open = append(open, choice{h, e, h.weight})
+		mean.add(x, 0)
+		if h.busyAt > 0 && b.now-h.busyAt < busyAge {
+			busy.add(h.busy, 0)
+		}
 		weights += h.weight
-		mean.add(e, 0)
-		if e < open[best].expected {
-			best = len(open) - 1
+		if b.chance()*weights < h.weight { // the n-th replaces those before it as often as its weight asks
+			pick, e = h, x
 		}
-	}
-	if len(open) == 0 {
-		return nil, 0
-	}
-	pick := b.weighted(open, weights)
-	if pick.expected > mean.value {
-		if again := b.weighted(open, weights); again.expected < pick.expected {
-			pick = again
+		if b.chance()*weights < h.weight {
+			second, e2 = h, x
+		}
+		if best == nil || x < least {
+			best, least = h, x
 		}
 	}
-	if pick.expected > near {
-		pick = open[best]
+	if e > mean.value && e2 < e {
+		pick, e = second, e2
 	}
-	return pick.host, pick.expected
-}
-
-func (b *Balancer) weighted(open []choice, weights float64) choice {
-	x := b.chance() * weights
-	for _, c := range open {
-		if x -= c.weight; x < 0 {
-			return c
-		}
+	if e > near {
+		pick, e = best, least
 	}
-	return open[len(open)-1]
+	return pick, e, busy.value
 }
 
 // Admission.
@@ -580,9 +531,13 @@
 		}
 		return b.profiles[i].Revenue / b.work[i].value
 	}
+	part := admitMost
+	if b.price.Misses {
+		part = admitTail
+	}
 	bears := func(i int) float64 {
 		p := &b.profiles[i]
-		return min((b.admit.most+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.work[i].value)
+		return min((part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.work[i].value)
 	}
 	most := bears(profile)
 	for i := range b.profiles {
@@ -624,7 +579,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one would only come again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
@@ -640,7 +595,7 @@
 	// host would be too many, as with many gateways each holds few hops and its hosts are idle to it in any jam.
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < forgetFrom) {
 		b.shed++
-		b.finish(t)
+		b.finish(t, max(tick, time.Duration(e-most)))
 		return
 	}
 	b.send(t, h, e)
@@ -657,7 +612,7 @@
 	if b.table.isCold(h, b.now) {
 		h.sent = append(h.sent, b.now)
 	}
-	if h.own++; h.waiting == 0 {
+	if h.own++; h.own == 1 {
 		h.waiting = b.now
 	}
 	t.out++
@@ -693,14 +648,15 @@
 // next goes on after a hop that has not answered: by another one, or by the end.
 func (b *Balancer) next(t *tx) {
 	if t.out == 0 && !b.again(t, math.Inf(1)) {
-		b.finish(t)
+		b.finish(t, tick)
 	}
 }
 
-// finish gives the final answer at once: rolled back where nothing can be left behind, else abandoned.
-func (b *Balancer) finish(t *tx) {
+// finish gives the final answer at once: rolled back where nothing can be left behind, with the time after which
+// to come back where clients keep to that; else abandoned.
+func (b *Balancer) finish(t *tx, back time.Duration) {
 	if t.prof.Effect == Idempotent || t.ran() == nil || t.prof.Effect == Journalled && t.prof.Reach == AllHosts {
-		b.out.RollBack(t.id, 0)
+		b.out.RollBack(t.id, min(back, b.hops.BackMost))
 	} else {
 		b.out.Abandon(t.id)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,19 +9,18 @@
 	place    Place
 	profiles []Profile
 	hops     HopRule
-	loads    LoadSource
+	from     Sources
 	price    Price
 	table    table
 	admit    admission
 	txs      map[TxID]*tx
 
-	now      time.Duration
-	nextTick time.Duration
-	ticks    int
-	due      []dueItem     // by time
-	armed    time.Duration // when the timer set falls due, 0 for none
-	seed     uint32        // chance comes from this
-	draws    uint32        // and from the number of draws so far
+	now   time.Duration
+	ticks int
+	due   []dueItem     // by time
+	armed time.Duration // when the timer set falls due, 0 for none
+	seed  uint32        // chance comes from this
+	draws uint32        // and from the number of draws so far
 
 	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
 	revenue average         // of the transactions taken
@@ -33,6 +32,11 @@
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
+func (a *average) add(x, step float64) {
+	a.n++
+	a.value += max(step, 1/a.n) * (x - a.value)
+}
+
 type dueItem struct {
 	at time.Duration
 	do func()
@@ -46,14 +50,14 @@
 	zones    []string            // the own one first
 	cold     ColdRule
 	gateways int
-	asks     int // calls for the list lost in a row
+	lost     int // calls for the list lost in a row
 }
 
 type host struct {
 	Host
-	own    int    // hops of this gateway out
-	others int    // hops of the other gateways out, as told
-	told   []byte // the same by gateway
+	own    int   // hops of this gateway out
+	others int   // hops of the other gateways out, as told
+	told   []int // the same by gateway
 	health
 	sent []time.Duration // hops within the last TipAfter, kept while cold
 }
@@ -68,7 +72,7 @@
 	places  *average      // hops in work at a full host of the kind, where reports show it
 	busyAt  time.Duration // when that came, 0 for never
 	paced   time.Duration // when an answer or time-out last said something of its pace
-	waiting time.Duration // since when hops are out without any answer, 0 if none
+	waiting time.Duration // since when hops are out without any answer, if any are
 	whole   breaker
 	by      []breaker // by profile
 }
@@ -82,15 +86,7 @@
 	cool   time.Duration // the cooldown before it
 }
 
-type choice struct {
-	host             *host
-	expected, weight float64
-}
-
-type admission struct {
-	tenants []tenant
-	most    float64 // of the goal: expected time over which a transaction is rolled back on arrival
-}
+type admission struct{ tenants []tenant }
 
 // tenant counts in transactions a second of this gateway.
 type tenant struct {
@@ -103,7 +99,6 @@
 	id      TxID
 	profile int
 	prof    *Profile
-	key     string
 	stop    time.Duration // when an answer earns nothing more, or the budget ends
 	hops    []hop
 	out     int  // hops out
--- a/logic/types.go
+++ b/logic/types.go
@@ -25,7 +25,7 @@
 	// Probed brings the load that a probed host reports.
 	Probed(now time.Duration, host HostID, l Load)
 	// Told brings what another gateway has told.
-	Told(now time.Duration, from int, msg []byte)
+	Told(now time.Duration, from int, held []Held)
 	// Timer reports that a timer set through Out has fallen due.
 	Timer(now time.Duration)
 }
@@ -40,14 +40,20 @@
 	// Abandon answers finally and promises nothing.
 	Abandon(id TxID)
 	Probe(host HostID)
-	// Tell sends up to 256 bytes to all other gateways.
-	Tell(msg []byte)
+	// Tell tells all other gateways what this one has out.
+	Tell(held []Held)
 	// AskList asks for the list and for its changes from then on.
 	AskList()
 	SetTimer(in time.Duration)
 	Log(line string)
 }
 
+// Held is how many hops a gateway has out at a host.
+type Held struct {
+	Host HostID
+	Hops int
+}
+
 type ListKind int
 
 const (
@@ -97,7 +103,7 @@
 	Effect      Effect
 	Reach       Reach
 	Window      time.Duration // how long repeats are dropped, from the first hop that may have run
-	Goal, Limit time.Duration // service goal and hard limit
+	Goal        time.Duration // service goal
 	Revenue     float64
 	LateRevenue float64 // share of the revenue that an answer past the goal earns
 }
@@ -112,7 +118,6 @@
 // where there is none.
 type Arrival struct {
 	Profile, Tenant int
-	Key             string
 	Budget          time.Duration
 }
 
@@ -147,9 +152,9 @@
 
 // Place is where the gateway stands among the gateways and zones.
 type Place struct {
-	Me, Gateways int
-	Zone         string
-	Zones        []string
+	Gateways int
+	Zone     string
+	Zones    []string
 }
 
 // ColdRule bounds what a freshly started host may be sent.
@@ -165,10 +170,15 @@
 	Most         int
 	SecondCopies bool
 	CallOff      bool
+	BackMost     time.Duration // the longest time to come back that clients keep to, 0 where they are told none
 }
 
-// LoadSource says how hosts and gateways tell of load.
-type LoadSource struct{ ByProbe, Tells bool }
+// Sources says what a gateway learns beside the outcomes of its own hops.
+type Sources struct {
+	Probes    bool          // hosts report their load when probed
+	Tells     bool          // gateways tell each other what they have out
+	AskWithin time.Duration // how long it may go without asking for the list, 0 where changes come by themselves
+}
 
 // Price says what costs revenue beside the transaction's own.
 type Price struct {
