Shorten the module further; trials that prove nothing are had again

A trial that ended full, called off or in a plain time-out left its breaker waiting for ever; it is due again now.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,7 +6,6 @@
 // decisions. The sections: time and chance, host table, health, group choice and draw, admission, path.
 
 import (
-	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -19,7 +18,6 @@
 const (
 	tick        = 100 * time.Millisecond // telling and load sampling: a few hops' time, cheap at any size
 	slowTick    = 10                     // ticks between weight changes: a second, as the decision record has it
-	askJitter   = 400 * time.Millisecond // spreads the first calls for the list; about a call's time
 	askAgain    = time.Second            // first delay after a lost list, doubled each time
 	askMost     = 4 * time.Second        // longest delay, lists being seconds late anyway; less where it must be
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
@@ -34,18 +32,17 @@
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
-	forgetFrom  = 2 * time.Second        // without an answer, before that begins
-	priorPaces  = 3.0                    // answers for which the usual pace of a kind counts at a new host
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
+	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
+	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
+	copyAfter   = 2.0                    // expected times after which a second copy is sent
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
-	silentLeast = 20 * time.Millisecond  // network noise on top of that
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
 	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
 	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
-	busyAge     = 2 * time.Second        // a report older than this says nothing of now
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
@@ -56,9 +53,6 @@
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
 	rateStep    = 0.1                    // smoothing of a tenant's rate: about ten seconds
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
-	copyEarly   = 1.5                    // expected times before a second copy, at the least
-	copyLate    = 2.5                    // and at the most
-	toldAge     = time.Second            // what a gateway told counts for this long: ten tells
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 	loadStep    = 0.05                   // smoothing of a host's load, a tick: two seconds
 )
@@ -67,7 +61,7 @@
 func New(out Out, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
-		seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed)), txs: map[TxID]*tx{},
+		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
 		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
@@ -80,27 +74,16 @@
 	}
 	b.at(now+tick, b.periodic)
 	if from.AskWithin > 0 {
-		b.at(now+time.Duration(b.chance()*float64(min(askJitter, from.AskWithin))), out.AskList)
+		b.at(now+time.Duration(b.chance.draw()*float64(min(askAgain, from.AskWithin))), out.AskList)
 	}
 	return b
 }
 
 // Time and chance.
 
-// chance draws evenly from [0, 1).
-func (b *Balancer) chance() float64 {
-	b.draws++
-	mixed := binary.LittleEndian.AppendUint64(nil, uint64(b.draws)*uint64(b.seed|1))
-	return float64(crc32.Update(b.seed, crc32.IEEETable, mixed)) / (1 << 32)
-}
-
-// at keeps the due times in order, the periodic one among them, and the one timer set for the first.
+// at has something done at its time; the one timer is set for the first of these.
 func (b *Balancer) at(when time.Duration, do func()) {
-	i := len(b.due)
-	for i > 0 && b.due[i-1].at > when {
-		i--
-	}
-	b.due = slices.Insert(b.due, i, dueItem{when, do})
+	b.due.add(when, do)
 	b.arm()
 }
 
@@ -116,9 +99,7 @@
 		return // set earlier, and replaced since by a nearer one
 	}
 	for len(b.due) > 0 && b.due[0].at <= now {
-		do := b.due[0].do
-		b.due = slices.Delete(b.due, 0, 1)
-		do()
+		b.due.next()()
 	}
 	b.armed = 0
 	b.arm()
@@ -141,7 +122,7 @@
 		b.out.Tell(held)
 	}
 	for from, at := range b.told {
-		if b.now-at > toldAge {
+		if b.now-at > staleAge {
 			b.Told(b.now, from, nil)
 		}
 	}
@@ -154,9 +135,9 @@
 	}
 	b.admit.refill(float64(b.place.Gateways), slowTick*tick.Seconds())
 	if b.shed > 0 {
-		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival, %d hops into other zones", b.shed, b.spilt))
+		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
 	}
-	b.shed, b.spilt = 0, 0
+	b.shed = 0
 }
 
 // The host table: the list, drains and the cold budget.
@@ -169,7 +150,7 @@
 		t.lost++
 		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.lost))
 		// Spread, or all gateways would call again together and be late together.
-		wait := (0.5 + b.chance()/2) * float64(min(askAgain<<min(t.lost-1, 8), askMost, b.from.AskWithin))
+		wait := (0.5 + b.chance.draw()/2) * float64(min(askAgain<<min(t.lost-1, 8), askMost, b.from.AskWithin))
 		b.at(now+time.Duration(wait), b.out.AskList)
 		return
 	case Whole, Cached:
@@ -191,7 +172,7 @@
 		}
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
-			h.health = health{weight: 1, pace: average{t.usualPace(entry.Kind), priorPaces},
+			h.health = health{weight: 1, pace: average{1, priorPaces},
 				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}
 			h.sent = nil
 		}
@@ -208,27 +189,6 @@
 	}
 }
 
-// like is the mean of a figure over the ready hosts of a kind for which it is known, failing these over all.
-func (t *table) like(kind string, figure func(*host) average) float64 {
-	var same, all average
-	for _, h := range t.ready {
-		if a := figure(h); a.n > 0 {
-			all.add(a.value, 0)
-			if h.Kind == kind {
-				same.add(a.value, 0)
-			}
-		}
-	}
-	if same.n > 0 {
-		return same.value
-	}
-	return all.value
-}
-
-func (t *table) usualPace(kind string) float64 {
-	return cmp.Or(t.like(kind, func(h *host) average { return h.pace }), 1)
-}
-
 func (t *table) isCold(h *host, now time.Duration) bool {
 	return h.Started > 0 && now-h.Started < t.cold.WarmUp
 }
@@ -242,14 +202,14 @@
 	for len(h.sent) > 0 && now-h.sent[0] >= t.cold.TipAfter {
 		h.sent = h.sent[1:]
 	}
-	through := t.like(h.Kind, func(o *host) average {
-		if t.isCold(o, now) || o.lat.n == 0 {
-			return average{}
+	var through average // hops a nanosecond; where no warm host shows it, one hop at a time must do
+	for _, o := range t.ready {
+		if o.Kind == h.Kind && o.lat.n > 0 && !t.isCold(o, now) {
+			through.add(o.load.value/o.lat.value, 0)
 		}
-		return average{o.load.value / o.lat.value, 1}
-	})
+	}
 	share := t.cold.From + (1-t.cold.From)*float64(now-h.Started)/float64(t.cold.WarmUp)
-	budget := share * t.cold.Multiple * through * float64(t.cold.TipAfter) / float64(t.gateways)
+	budget := share * t.cold.Multiple * through.value * float64(t.cold.TipAfter) / float64(t.gateways)
 	return float64(len(h.sent)) < max(1, math.Floor(coldPart*budget))
 }
 
@@ -309,8 +269,7 @@
 // silent tells whether a host takes work and answers nothing, for far longer than its hops out explain. It is
 // passed over until it answers, long before its hops time out.
 func (h *host) silent(now time.Duration) bool {
-	return h.own > 0 && h.lat.n > 0 &&
-		float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))+float64(silentLeast)
+	return h.own > 0 && h.lat.n > 0 && float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))
 }
 
 // slots is how many hops a host works on at once: one, unless reports of its kind show more.
@@ -347,14 +306,13 @@
 		h.bad, bad = true, true
 	case Full:
 		h.bad = true
-	default:
-		h.whole.trying, h.by[profile].trying = false, false
 	}
-	if r.End != Committed && !bad {
+	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
+		h.whole.trying, h.by[profile].trying = false, false
 		return
 	}
 	for _, c := range []*breaker{&h.whole, &h.by[profile]} {
-		if c.note(bad, r.End != TimedOut, b.now, b.chance()) {
+		if c.note(bad, r.End != TimedOut, b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d profile %s: breaker open %t", h.ID, b.profiles[profile].Name, c.open))
 		}
 	}
@@ -363,16 +321,16 @@
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow, as cold
 // ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
-	mean := b.table.usualPace("")
-	for i := range b.work {
-		b.work[i].value *= mean
-	}
+	mean := average{1, 0}
 	for _, h := range b.table.ready {
-		h.pace.value /= mean
+		mean.add(h.pace.value, 0)
+	}
+	for i := range b.work {
+		b.work[i].value *= mean.value
 	}
 	for _, h := range b.table.ready {
-		if usual := b.table.usualPace(h.Kind); b.now-h.paced > forgetFrom && h.pace.value > usual {
-			h.pace.value += forget * (usual - h.pace.value)
+		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
+			h.pace.value += forget * (1 - h.pace.value)
 		}
 	}
 }
@@ -466,14 +424,14 @@
 			continue
 		}
 		mean.add(x, 0)
-		if h.busyAt > 0 && b.now-h.busyAt < busyAge {
+		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
 		}
 		weights += h.weight
-		if b.chance()*weights < h.weight { // the n-th replaces those before it as often as its weight asks
+		if b.chance.draw()*weights < h.weight { // the n-th replaces those before it as often as its weight asks
 			pick, e = h, x
 		}
-		if b.chance()*weights < h.weight {
+		if b.chance.draw()*weights < h.weight {
 			second, e2 = h, x
 		}
 		if best == nil || x < least {
@@ -593,7 +551,7 @@
 	h, e := b.choose(t)
 	// A host long without an answer is worth a hop: nothing else shows that its estimate is out of date. Every idle
 	// host would be too many, as with many gateways each holds few hops and its hosts are idle to it in any jam.
-	if h == nil || e > most && (h.own > 0 || b.now-h.paced < forgetFrom) {
+	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge) {
 		b.shed++
 		b.finish(t, max(tick, time.Duration(e-most)))
 		return
@@ -603,9 +561,6 @@
 
 func (b *Balancer) send(t *tx, h *host, expected float64) {
 	i := len(t.hops)
-	if h.Zone != b.place.Zone {
-		b.spilt++
-	}
 	for _, k := range []*breaker{&h.whole, &h.by[t.profile]} {
 		k.trying = k.trying || k.open && b.now >= k.until
 	}
@@ -621,15 +576,11 @@
 	if t.prof.Effect == NonIdempotent || !b.hops.SecondCopies || i+1 >= b.hops.Most {
 		return
 	}
-	left := float64(t.stop - b.now)
-	after := max(copyEarly*expected, min(copyLate*expected, left-copyEarly*expected))
-	if after < left {
-		b.at(b.now+time.Duration(after), func() {
-			if !t.done && !t.hops[i].over && i == len(t.hops)-1 {
-				b.again(t, fullFrom*float64(t.prof.Goal))
-			}
-		})
-	}
+	b.at(b.now+time.Duration(copyAfter*expected), func() {
+		if !t.done && !t.hops[i].over && i == len(t.hops)-1 {
+			b.again(t, fullFrom*float64(t.prof.Goal))
+		}
+	})
 }
 
 // again sends a further hop where a host can still answer in time, and within most; it tells whether it did.
@@ -687,9 +638,9 @@
 	b.learn(k, t.profile, r)
 	if t.done || over {
 		b.settle(t)
-		return
+	} else {
+		k.then()
 	}
-	k.then()
 }
 
 func (b *Balancer) Begun(now time.Duration, id TxID, i int) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,11 @@
 package logic
 
-import "time"
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+	"time"
+)
 
 // Balancer decides for one gateway. Its parts each own their state: the host table, the health of each host,
 // admission, and each transaction's path.
@@ -15,18 +20,16 @@
 	admit    admission
 	txs      map[TxID]*tx
 
-	now   time.Duration
-	ticks int
-	due   []dueItem     // by time
-	armed time.Duration // when the timer set falls due, 0 for none
-	seed  uint32        // chance comes from this
-	draws uint32        // and from the number of draws so far
+	now    time.Duration
+	ticks  int
+	due    dueTimes
+	armed  time.Duration // when the timer set falls due, 0 for none
+	chance chance
 
 	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
 	revenue average         // of the transactions taken
 	told    []time.Duration // by gateway: when it last told, 0 for not lately
 	shed    int             // rolled back on arrival since the last slow tick
-	spilt   int             // hops into other zones since then
 }
 
 // average is a smoothed value that trusts its first samples.
@@ -37,11 +40,39 @@
 	a.value += max(step, 1/a.n) * (x - a.value)
 }
 
-type dueItem struct {
+// dueTimes are in order; of equal ones the first added comes first.
+type dueTimes []struct {
 	at time.Duration
 	do func()
 }
 
+func (d *dueTimes) add(at time.Duration, do func()) {
+	i := len(*d)
+	for i > 0 && (*d)[i-1].at > at {
+		i--
+	}
+	*d = slices.Insert(*d, i, struct {
+		at time.Duration
+		do func()
+	}{at, do})
+}
+
+func (d *dueTimes) next() func() {
+	do := (*d)[0].do
+	*d = slices.Delete(*d, 0, 1)
+	return do
+}
+
+// chance gives the same draws for the same seed.
+type chance struct{ seed, draws uint32 }
+
+// draw is even over [0, 1).
+func (c *chance) draw() float64 {
+	c.draws++
+	mixed := binary.LittleEndian.AppendUint64(nil, uint64(c.draws)*uint64(c.seed|1))
+	return float64(crc32.Update(c.seed, crc32.IEEETable, mixed)) / (1 << 32)
+}
+
 type table struct {
 	byID     map[HostID]*host
 	places   map[string]*average // by kind: hops in work at a full host, where reports show it
