--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,9 +6,7 @@
 // decisions. The sections: time and chance, host table, health, group choice and draw, admission, path.
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -54,55 +52,26 @@
 	rateStep    = 0.1                    // smoothing of a tenant's rate: about ten seconds
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
-	loadStep    = 0.05                   // smoothing of a host's load, a tick: two seconds
 )
 
-// New makes the decisions of one gateway; seed is the root of all its chance.
-func New(out Out, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
-	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
-	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
-		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
-		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
-	own := max(0, slices.Index(place.Zones, place.Zone))
-	b.table.zones = append(slices.Clone(place.Zones[own:]), place.Zones[:own]...)
-	for _, t := range tenants {
-		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
-	}
-	for i, p := range profiles {
-		b.work[i].value = firstGuess * float64(p.Goal)
-	}
-	b.at(now+tick, b.periodic)
-	if from.AskWithin > 0 {
-		b.at(now+time.Duration(b.chance.draw()*float64(min(askAgain, from.AskWithin))), out.AskList)
-	}
-	return b
-}
-
-// Time and chance.
+// Time.
 
 // at has something done at its time; the one timer is set for the first of these.
 func (b *Balancer) at(when time.Duration, do func()) {
 	b.due.add(when, do)
-	b.arm()
-}
-
-func (b *Balancer) arm() {
-	if first := b.due[0].at; b.armed == 0 || first < b.armed {
-		b.armed = first
-		b.out.SetTimer(first - b.now)
+	if wait := b.due.arm(b.now); wait > 0 {
+		b.out.SetTimer(wait)
 	}
 }
 
 func (b *Balancer) Timer(now time.Duration) {
-	if b.now = now; now < b.armed {
-		return // set earlier, and replaced since by a nearer one
+	b.now = now
+	for do := b.due.next(now); do != nil; do = b.due.next(now) {
+		do()
 	}
-	for len(b.due) > 0 && b.due[0].at <= now {
-		b.due.next()()
+	if wait := b.due.arm(now); wait > 0 {
+		b.out.SetTimer(wait)
 	}
-	b.armed = 0
-	b.arm()
 }
 
 func (b *Balancer) periodic() {
@@ -110,7 +79,6 @@
 	b.ticks++
 	var held []Held
 	for i, h := range b.table.ready {
-		h.load.add(float64(h.own+h.others), loadStep)
 		if h.own > 0 {
 			held = append(held, Held{h.ID, h.own})
 		}
@@ -205,7 +173,7 @@
 	var through average // hops a nanosecond; where no warm host shows it, one hop at a time must do
 	for _, o := range t.ready {
 		if o.Kind == h.Kind && o.lat.n > 0 && !t.isCold(o, now) {
-			through.add(o.load.value/o.lat.value, 0)
+			through.add(float64(o.own+o.others)/o.lat.value, 0)
 		}
 	}
 	share := t.cold.From + (1-t.cold.From)*float64(now-h.Started)/float64(t.cold.WarmUp)
@@ -483,29 +451,28 @@
 // patience is the expected time over which a transaction is rolled back on arrival: a part of its goal, and short
 // enough that it yields to profiles that earn far more for the same work before these are pressed themselves.
 func (b *Balancer) patience(profile int) float64 {
-	earns := func(i int) float64 {
-		if b.price.ByWork {
-			return b.profiles[i].Revenue
-		}
-		return b.profiles[i].Revenue / b.work[i].value
-	}
-	part := admitMost
-	if b.price.Misses {
-		part = admitTail
-	}
-	bears := func(i int) float64 {
-		p := &b.profiles[i]
-		return min((part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.work[i].value)
-	}
-	most := bears(profile)
-	for i := range b.profiles {
-		if earns(i) > yieldFrom*earns(profile) {
-			most = min(most, yieldPart*bears(i)*b.work[profile].value/b.work[i].value)
+	most := math.Inf(1)
+	for i, p := range b.profiles {
+		bears, yields := min((b.admit.part+p.LateRevenue/2)*float64(p.Goal)/b.work[i].value, crowdMost), 1.0
+		if i != profile {
+			yields = yieldPart
+			if b.earns(i) <= yieldFrom*b.earns(profile) {
+				continue
+			}
 		}
+		most = min(most, yields*bears*b.work[profile].value)
 	}
 	return most
 }
 
+// earns is what a profile earns for the same work.
+func (b *Balancer) earns(profile int) float64 {
+	if b.price.ByWork {
+		return b.profiles[profile].Revenue
+	}
+	return b.profiles[profile].Revenue / b.work[profile].value
+}
+
 // A transaction's path.
 
 // ran is the first hop that may have run, or still may.
@@ -571,7 +538,11 @@
 		h.waiting = b.now
 	}
 	t.out++
-	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() { b.next(t) }})
+	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
+		if t.out == 0 && !b.again(t, math.Inf(1)) {
+			b.finish(t, tick)
+		}
+	}})
 	b.out.Hop(t.id, h.ID, t.stop-b.now)
 	if t.prof.Effect == NonIdempotent || !b.hops.SecondCopies || i+1 >= b.hops.Most {
 		return
@@ -596,13 +567,6 @@
 	return true
 }
 
-// next goes on after a hop that has not answered: by another one, or by the end.
-func (b *Balancer) next(t *tx) {
-	if t.out == 0 && !b.again(t, math.Inf(1)) {
-		b.finish(t, tick)
-	}
-}
-
 // finish gives the final answer at once: rolled back where nothing can be left behind, with the time after which
 // to come back where clients keep to that; else abandoned.
 func (b *Balancer) finish(t *tx, back time.Duration) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -23,7 +23,6 @@
 	now    time.Duration
 	ticks  int
 	due    dueTimes
-	armed  time.Duration // when the timer set falls due, 0 for none
 	chance chance
 
 	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
@@ -32,6 +31,32 @@
 	shed    int             // rolled back on arrival since the last slow tick
 }
 
+// New makes the decisions of one gateway; seed is the root of all its chance.
+func New(out Out, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
+	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
+	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
+		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
+		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
+		admit: admission{part: admitMost},
+		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
+	own := max(0, slices.Index(place.Zones, place.Zone))
+	b.table.zones = append(slices.Clone(place.Zones[own:]), place.Zones[:own]...)
+	for _, t := range tenants {
+		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
+	}
+	if price.Misses {
+		b.admit.part = admitTail
+	}
+	for i, p := range profiles {
+		b.work[i].value = firstGuess * float64(p.Goal)
+	}
+	b.at(now+tick, b.periodic)
+	if from.AskWithin > 0 {
+		b.at(now+time.Duration(b.chance.draw()*float64(min(askAgain, from.AskWithin))), out.AskList)
+	}
+	return b
+}
+
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
@@ -40,29 +65,48 @@
 	a.value += max(step, 1/a.n) * (x - a.value)
 }
 
-// dueTimes are in order; of equal ones the first added comes first.
-type dueTimes []struct {
+// dueTimes are kept in order; of equal ones the first added comes first.
+type dueTimes struct {
+	items []dueItem
+	armed time.Duration // when the timer set falls due, 0 for none
+}
+
+type dueItem struct {
 	at time.Duration
 	do func()
 }
 
 func (d *dueTimes) add(at time.Duration, do func()) {
-	i := len(*d)
-	for i > 0 && (*d)[i-1].at > at {
+	i := len(d.items)
+	for i > 0 && d.items[i-1].at > at {
 		i--
 	}
-	*d = slices.Insert(*d, i, struct {
-		at time.Duration
-		do func()
-	}{at, do})
+	d.items = slices.Insert(d.items, i, dueItem{at, do})
 }
 
-func (d *dueTimes) next() func() {
-	do := (*d)[0].do
-	*d = slices.Delete(*d, 0, 1)
+// next takes out the first that is due, nil if none is.
+func (d *dueTimes) next(now time.Duration) func() {
+	if d.armed <= now {
+		d.armed = 0
+	}
+	if len(d.items) == 0 || d.items[0].at > now {
+		return nil
+	}
+	do := d.items[0].do
+	d.items = slices.Delete(d.items, 0, 1)
 	return do
 }
 
+// arm says how long a timer must be set for, 0 where the one already set is soon enough.
+func (d *dueTimes) arm(now time.Duration) time.Duration {
+	first := max(d.items[0].at, now+1)
+	if d.armed > 0 && d.armed <= first {
+		return 0
+	}
+	d.armed = first
+	return first - now
+}
+
 // chance gives the same draws for the same seed.
 type chance struct{ seed, draws uint32 }
 
@@ -98,7 +142,6 @@
 	bad     bool          // a failure, full answer or time-out since the last slow tick
 	pace    average       // times the usual time of a profile, with a core free
 	lat     average       // time of an answer, waits included
-	load    average       // hops out of all gateways
 	busy    float64       // reported utilisation
 	places  *average      // hops in work at a full host of the kind, where reports show it
 	busyAt  time.Duration // when that came, 0 for never
@@ -117,7 +160,10 @@
 	cool   time.Duration // the cooldown before it
 }
 
-type admission struct{ tenants []tenant }
+type admission struct {
+	tenants []tenant
+	part    float64 // of the goal that a transaction's expected time may take on arrival
+}
 
 // tenant counts in transactions a second of this gateway.
 type tenant struct {
