--- a/logic/logic.go
+++ b/logic/logic.go
@@ -227,8 +227,6 @@
 	return k.open != was
 }
 
-func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
-
 func (h *host) trialDue(profile int, now time.Duration) bool {
 	due := func(k *breaker) bool { return !k.open || now >= k.until && !k.trying }
 	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
@@ -240,9 +238,6 @@
 	return h.own > 0 && h.lat.n > 0 && float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))
 }
 
-// slots is how many hops a host works on at once: one, unless reports of its kind show more.
-func (h *host) slots() float64 { return max(1, h.places.value) }
-
 func (h *host) report(l Load, now time.Duration) {
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
@@ -327,43 +322,32 @@
 
 // Group choice and draw.
 
-// crowd is how many hops a slot a host would hold with one more.
-func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
-
 // expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.pace.value * max(1, h.crowd())
 }
 
-// choose takes the own group unless that is near full, else the group that promises most, the price of a crossing
-// counted in; where every breaker is open, any allowed host.
+// choose takes the own group unless that is near full, else the group that promises most: a further one must promise
+// so much more as a crossing is dear, for where all are full crossings only move the jam about. Where every breaker
+// is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
-	goal, least := float64(t.prof.Goal), 0.0
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
-	near := min(fullFrom+2*dear, fullMost) * goal
+	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
 	for _, barred := range []bool{false, true} {
+		most := b.patience(t.profile)
 		for i, g := range b.table.groups {
-			most := b.patience(t.profile)
-			if i > 0 {
-				most *= 1 - dear // where all zones are full a crossing only moves the jam about
-			}
 			h, e, busy := b.draw(g, t, barred, min(near, most))
 			if h == nil || i > 0 && e > most {
 				continue
 			}
-			if i == 0 && (h.trialDue(t.profile, b.now) ||
-				e <= most && (h.crowd() <= crowdFree || e <= near && busy < busyFull)) {
+			pick, expected = h, e
+			if i > 0 {
+				most = e
+			} else if h.trialDue(t.profile, b.now) ||
+				e <= most && (h.crowd() <= crowdFree || e <= near && busy < busyFull) {
 				return h, e
-			}
-			cost := e
-			switch {
-			case i > 0:
-				cost += dear * goal / 2
-			case e > most:
-				cost += goal // a dear crossing is better than a rollback
-			}
-			if pick == nil || cost < least {
-				pick, expected, least = h, e, cost
+			} else {
+				most = (1 - dear) * min(most, e)
 			}
 		}
 		if pick != nil {
@@ -475,16 +459,6 @@
 
 // A transaction's path.
 
-// ran is the first hop that may have run, or still may.
-func (t *tx) ran() *hop {
-	for i := range t.hops {
-		if !t.hops[i].over || !t.hops[i].end.NeverRan() {
-			return &t.hops[i]
-		}
-	}
-	return nil
-}
-
 // fits keeps the second rule: no host where an effect could happen twice; and none tried before.
 func (t *tx) fits(h *host, now time.Duration) bool {
 	if slices.ContainsFunc(t.hops, func(k hop) bool { return k.host == h }) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -151,6 +151,14 @@
 	by      []breaker // by profile
 }
 
+func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
+
+// slots is how many hops a host works on at once: one, unless reports of its kind show more.
+func (h *host) slots() float64 { return max(1, h.places.value) }
+
+// crowd is how many hops a slot a host would hold with one more.
+func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
+
 type breaker struct {
 	row    int           // failures in a row
 	share  float64       // smoothed share of errors
@@ -190,3 +198,13 @@
 	end  End
 	then func() // what comes next where the hop has not answered
 }
+
+// ran is the first hop that may have run, or still may.
+func (t *tx) ran() *hop {
+	for i := range t.hops {
+		if !t.hops[i].over || !t.hops[i].end.NeverRan() {
+			return &t.hops[i]
+		}
+	}
+	return nil
+}
