--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,6 +6,7 @@
 // decisions. The sections: time and chance, host table, health, group choice and draw, admission, path.
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -130,14 +131,8 @@
 		t.lost = 0
 	}
 	for _, entry := range hosts {
-		h := t.byID[entry.ID]
-		if h == nil {
-			h = &host{told: make([]int, t.gateways)}
-			t.byID[entry.ID] = h
-		}
-		if t.places[entry.Kind] == nil {
-			t.places[entry.Kind] = &average{}
-		}
+		h := cmp.Or(t.byID[entry.ID], &host{told: make([]int, t.gateways)})
+		t.byID[entry.ID], t.places[entry.Kind] = h, cmp.Or(t.places[entry.Kind], &average{})
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
 			h.health = health{weight: 1, pace: average{1, priorPaces},
@@ -157,10 +152,6 @@
 	}
 }
 
-func (t *table) isCold(h *host, now time.Duration) bool {
-	return h.Started > 0 && now-h.Started < t.cold.WarmUp
-}
-
 // coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, whatever
 // the other gateways do. What the host can do is judged from what warm hosts like it get through.
 func (t *table) coldRoom(h *host, now time.Duration) bool {
@@ -251,12 +242,11 @@
 func (b *Balancer) learn(k *hop, profile int, r Result) {
 	h := k.host
 	h.own--
-	h.waiting = b.now
 	h.report(r.Load, b.now)
 	crowd, work, took, bad := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took), false
 	switch r.End {
 	case Committed:
-		h.paced = b.now
+		h.paced, h.waiting = b.now, b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
@@ -265,10 +255,8 @@
 		h.paced, h.bad, bad = b.now, true, took > overdue*work.value*crowd
 		h.lat.add(max(took, h.lat.value), paceStep)
 		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
-	case Error, Broken, NoConnection:
-		h.bad, bad = true, true
-	case Full:
-		h.bad = true
+	case Error, Broken, NoConnection, Full:
+		h.waiting, h.bad, bad = b.now, true, r.End != Full
 	}
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
@@ -333,7 +321,7 @@
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
 	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
-	for _, barred := range []bool{false, true} {
+	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
 		for i, g := range b.table.groups {
 			h, e, busy := b.draw(g, t, barred, min(near, most))
@@ -350,11 +338,10 @@
 				most = (1 - dear) * min(most, e)
 			}
 		}
-		if pick != nil {
-			break
+		if pick != nil || barred {
+			return pick, expected
 		}
 	}
-	return pick, expected
 }
 
 // draw picks from a group by weight, and once more where the first is slower than the mean; where the pick takes
@@ -403,9 +390,6 @@
 
 // over tells whether a transaction goes beyond its tenant's share.
 func (a *admission) over(i int) bool {
-	if i < 0 {
-		return false
-	}
 	t := &a.tenants[i]
 	t.taken++
 	t.tokens--
@@ -486,7 +470,7 @@
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	most := b.patience(a.Profile)
-	if b.admit.over(a.Tenant) {
+	if a.Tenant >= 0 && b.admit.over(a.Tenant) {
 		most = min(most, overAdmit*float64(p.Goal))
 	}
 	h, e := b.choose(t)
@@ -581,12 +565,10 @@
 	}
 }
 
-func (b *Balancer) Begun(now time.Duration, id TxID, i int) {
+func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
 	b.now = now
-	if t := b.txs[id]; t != nil && i < len(t.hops) {
-		t.hops[i].over = true // a stream cannot be called off
-		b.settle(t)
-		t.hops[i].over = false
+	if t := b.txs[id]; t != nil {
+		t.done = true
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -128,6 +128,10 @@
 	lost     int // calls for the list lost in a row
 }
 
+func (t *table) isCold(h *host, now time.Duration) bool {
+	return h.Started > 0 && now-h.Started < t.cold.WarmUp
+}
+
 type host struct {
 	Host
 	own    int   // hops of this gateway out
