A tenant over its share gets a free slot at a usual host, whatever its goal

With it a warm host that is idle counts for one hop at a time in a cold host's budget: traces showed one hop a second to cold hosts for all of their warming.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.5                    // hops a slot over which a host gets no more done and only slows down
-	overAdmit   = 0.2                    // the same for a tenant over its share
+	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
 	rateStep    = 0.1                    // smoothing of a tenant's rate: about ten seconds
@@ -161,10 +161,10 @@
 	for len(h.sent) > 0 && now-h.sent[0] >= t.cold.TipAfter {
 		h.sent = h.sent[1:]
 	}
-	var through average // hops a nanosecond; where no warm host shows it, one hop at a time must do
+	var through average // hops a nanosecond, as if one more were out; a hop at a time where no warm host shows it
 	for _, o := range t.ready {
 		if o.Kind == h.Kind && o.lat.n > 0 && !t.isCold(o, now) {
-			through.add(float64(o.own+o.others)/o.lat.value, 0)
+			through.add(float64(o.own+o.others+1)/o.lat.value, 0)
 		}
 	}
 	share := t.cold.From + (1-t.cold.From)*float64(now-h.Started)/float64(t.cold.WarmUp)
@@ -471,7 +471,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	if a.Tenant >= 0 && b.admit.over(a.Tenant) {
-		most = min(most, overAdmit*float64(p.Goal))
+		most = min(most, overCrowd*b.work[a.Profile].value)
 	}
 	h, e := b.choose(t)
 	// A host long without an answer is worth a hop: nothing else shows that its estimate is out of date. Every idle
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,251 @@
+package logic_test
+
+import (
+	"fmt"
+	"time"
+
+	"spanmux/logic"
+)
+
+// Rule 2: a payment goes on only while every hop surely never ran, and is rolled back only then.
+func Example_nonIdempotent() {
+	s := start([]logic.Profile{payment}, nil, host(1, "a", 1), host(2, "a", 1))
+	s.take(1, 0, -1)
+	s.end(1, 0, logic.NoConnection, ms) // never ran: another hop
+	s.end(1, 1, logic.Full, ms)         // nor there, and no host is left
+	s.take(2, 0, -1)
+	s.end(2, 0, logic.Error, ms) // may have run
+	s.print()
+	// Output:
+	// ?
+}
+
+// Rule 2: an order that may have run goes on in its cell only, within the time in which repeats are dropped.
+func Example_journalled() {
+	s := start([]logic.Profile{order}, nil, host(1, "a", 1), host(2, "a", 2), host(3, "b", 1), host(4, "b", 2))
+	s.take(1, 0, -1)
+	s.end(1, 0, logic.Error, ms)
+	s.end(1, 1, logic.Error, ms) // no further host in its cell
+	s.take(2, 0, -1)
+	s.wait(50 * ms)
+	s.end(2, 0, logic.Full, ms) // surely never ran: any cell will do
+	s.take(3, 0, -1)
+	s.wait(299 * ms)
+	s.end(3, 0, logic.Broken, ms) // may have run, and its window is as good as over
+	s.print()
+	// Output:
+	// ?
+}
+
+// Rule 3: from the moment it is told a gateway sends nothing to a host that drains or is gone.
+func Example_drain() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
+	draining := host(1, "a", 1)
+	draining.State = logic.Draining
+	s.List(s.now, logic.Changes, []logic.Host{draining})
+	s.answered(1, 20, 0)
+	fmt.Println("hops while 1 drains:", s.hopsTo)
+	s.List(s.now, logic.Whole, []logic.Host{host(1, "a", 1)}) // 2 is missing from it: gone
+	s.answered(21, 20, 0)
+	fmt.Println("hops after 2 is gone:", s.hopsTo)
+	s.List(s.now, logic.Whole, nil)
+	s.take(41, 0, -1)
+	s.print()
+	// Output:
+	// ?
+}
+
+// Rule 4: a cold host gets one hop a window at first, then by what a warm host of its kind gets through.
+func Example_coldHost() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.answered(1, 10, 0)
+	cold := host(2, "a", 1)
+	cold.Started = s.now
+	s.List(s.now, logic.Changes, []logic.Host{cold})
+	s.quiet = true
+	for second := range 9 {
+		s.hopsTo = map[logic.HostID]int{}
+		for i := range 50 {
+			id := 100*(second+1) + i
+			s.take(id, 0, -1)
+			s.wait(20 * ms)
+			s.end(id, 0, logic.Committed, 20*ms)
+		}
+		fmt.Println("second", second, "hops:", s.hopsTo)
+	}
+	// Output:
+	// ?
+}
+
+// Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
+func Example_finalAnswers() {
+	late := payment
+	late.LateRevenue = 0.5
+	s := start([]logic.Profile{payment, late, read}, nil, host(1, "a", 1), host(2, "a", 1), host(3, "a", 1))
+	s.take(1, 0, -1) // earns nothing past its goal, so it stops there
+	s.take(2, 1, -1) // earns something, so it has its budget
+	s.take(3, 2, -1) // would only come again if it were stopped at its goal
+	s.wait(395 * ms)
+	s.end(1, 0, logic.TimedOut, 395*ms)
+	s.end(1, 0, logic.TimedOut, 395*ms) // told twice
+	s.end(3, 0, logic.Committed, 395*ms)
+	s.end(3, 1, logic.CalledOff, 0)
+	s.take(4, 2, -1)
+	s.Left(s.now, 4)
+	s.end(4, 0, logic.Error, ms)
+	s.end(99, 0, logic.Error, ms) // never taken
+	s.print()
+	// Output:
+	// ?
+}
+
+// A lost list is asked for again after spread and growing delays, well before the gateway would count as told.
+func Example_listLost() {
+	s := start(nil, nil, host(1, "a", 1))
+	for range 4 {
+		s.wait(4 * time.Second)
+		s.List(s.now, logic.Lost, nil)
+	}
+	s.wait(4*time.Second).List(s.now, logic.Whole, []logic.Host{host(1, "a", 1)})
+	s.wait(time.Minute)
+	s.print()
+	// Output:
+	// ?
+}
+
+// A host that errs on half of its orders but answers all reads is barred to orders only; a trial lets it back.
+func Example_breakerOfOneProfile() {
+	s := start([]logic.Profile{read, order}, nil, host(1, "a", 1))
+	for id := 10; id < 20; id += 2 {
+		s.answered(id, 1, 0)
+		s.quiet = true
+		s.take(id+1, 1, -1)
+		s.quiet = false
+		s.end(id+1, 0, []logic.End{logic.Error, logic.Committed}[id/2%2], 100*ms)
+	}
+	s.List(s.now, logic.Changes, []logic.Host{host(2, "a", 1)})
+	s.hopsTo = map[logic.HostID]int{}
+	s.answered(20, 10, 1)
+	fmt.Println("orders:", s.hopsTo)
+	s.hopsTo = map[logic.HostID]int{}
+	s.answered(30, 10, 0)
+	fmt.Println("reads:", s.hopsTo)
+	s.wait(3 * time.Second)
+	s.answered(40, 1, 1)
+	s.print()
+	// Output:
+	// ?
+}
+
+// A host that hangs is passed over before its hops time out, and what waits there gets a second copy.
+func Example_hang() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
+	s.answered(1, 20, 0)
+	s.List(s.now, logic.Changes, []logic.Host{{ID: 2, Zone: "a", Kind: "box", State: logic.Gone}})
+	s.take(50, 0, -1) // to 1, which hangs from now on
+	s.List(s.now, logic.Changes, []logic.Host{host(2, "a", 1)})
+	s.wait(410 * ms)
+	s.end(50, 1, logic.Committed, 100*ms)
+	s.hopsTo = map[logic.HostID]int{}
+	s.answered(60, 10, 0)
+	fmt.Println("after that:", s.hopsTo)
+	s.print()
+	// Output:
+	// ?
+}
+
+// Where all hosts are slow, hops that time out everywhere open no breaker, as that would jam the rest.
+func Example_jam() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.answered(1, 20, 0)
+	for id := 100; id < 108; id++ { // one by one to a host that is busy with what the others sent
+		s.Told(s.now, 1, []logic.Held{{Host: 1, Hops: 12}})
+		s.quiet = true
+		s.take(id, 0, -1)
+		s.quiet = false
+		s.wait(150 * ms)
+		s.end(id, 0, logic.TimedOut, 150*ms)
+	}
+	s.print()
+	// Output:
+	// ?
+}
+
+// The own zone comes first; near full it spills; where both are full the rest is rolled back at once.
+func Example_spill() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "b", 2))
+	s.answered(1, 20, 0)
+	fmt.Println("one by one:", s.hopsTo)
+	for id := 100; id < 108; id++ {
+		s.take(id, 0, -1)
+	}
+	s.print()
+	// Output:
+	// ?
+}
+
+// A profile that earns far more for the same work still gets room when the cheaper one is rolled back.
+func Example_yield() {
+	dear := payment
+	dear.Revenue = 5
+	s := start([]logic.Profile{read, dear}, nil, host(1, "a", 1))
+	s.answered(1, 20, 0)
+	for id := 100; id < 106; id++ {
+		s.take(id, id%2, -1)
+	}
+	s.print()
+	// Output:
+	// ?
+}
+
+// A tenant far over its share yields as soon as its hops would wait; the others do not.
+func Example_tenants() {
+	s := start([]logic.Profile{read}, []logic.Tenant{{"greedy", 10}, {"small", 10}, {"other", 10}}, host(1, "a", 1))
+	s.quiet = true
+	for id := range 240 { // four seconds: 48 a second of the first, 6 of each other
+		s.take(1000+id, 0, []int{0, 0, 0, 0, 1, 0, 0, 0, 0, 2}[id%10])
+		s.wait(16 * ms)
+		s.end(1000+id, 0, logic.Committed, 16*ms)
+	}
+	s.quiet = false
+	for id := range 60 { // empties what tokens the greedy one has
+		s.quiet = id < 58
+		s.take(2000+id, 0, 0)
+	}
+	s.take(3000, 0, 1)
+	s.print()
+	// Output:
+	// ?
+}
+
+// A cold host that was seen slow is drawn again once that is long past.
+func Example_forgottenPace() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
+	s.quiet = true
+	for id := range 400 {
+		if id%100 == 0 {
+			fmt.Println(s.hopsTo)
+		}
+		s.take(id, 0, -1)
+		s.wait(50 * ms)
+		s.end(id, 0, logic.Committed, 50*ms)
+	}
+	// Output:
+	// ?
+}
+
+// The same calls give the same decisions.
+func Example_same() {
+	play := func() string {
+		s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1), host(3, "b", 1))
+		for id := range 50 {
+			s.take(id, 0, -1)
+			s.wait(30 * ms)
+			s.end(id/2, 0, logic.End(id%6), 60*ms)
+		}
+		return s.lines.String()
+	}
+	first := play()
+	fmt.Println(len(first) > 1000, first == play())
+	// Output: true true
+}
--- /dev/null
+++ b/logic/scene_test.go
@@ -0,0 +1,100 @@
+package logic_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"spanmux/logic"
+)
+
+const ms = time.Millisecond
+
+// scene plays a gateway and prints what it wants done, each line with the time in milliseconds.
+type scene struct {
+	*logic.Balancer
+	now    time.Duration
+	timers []time.Duration
+	hopsTo map[logic.HostID]int
+	quiet  bool // prints nothing of hops and answers, but counts hops
+	back   int
+	lines  strings.Builder
+}
+
+var (
+	read  = logic.Profile{Name: "read", Effect: logic.Idempotent, Goal: 400 * ms, Revenue: 1}
+	order = logic.Profile{Name: "order", Effect: logic.Journalled, Reach: logic.SameCell, Window: 300 * ms,
+		Goal: 400 * ms, Revenue: 1}
+	payment = logic.Profile{Name: "payment", Effect: logic.NonIdempotent, Goal: 400 * ms, Revenue: 1}
+)
+
+// start begins a scene at one second, in zone a of a and b, as the first of two gateways.
+func start(profiles []logic.Profile, tenants []logic.Tenant, hosts ...logic.Host) *scene {
+	s := &scene{now: time.Second, hopsTo: map[logic.HostID]int{}}
+	s.Balancer = logic.New(s, s.now, 7, logic.Place{Gateways: 2, Zone: "a", Zones: []string{"a", "b"}}, profiles, tenants,
+		logic.ColdRule{From: 0.25, WarmUp: 8 * time.Second, Multiple: 4, TipAfter: time.Second},
+		logic.HopRule{Most: 3, SecondCopies: true, CallOff: true, BackMost: time.Second},
+		logic.Sources{AskWithin: 10 * time.Second}, logic.Price{Crossing: 0.05})
+	s.List(s.now, logic.Cached, hosts)
+	return s
+}
+
+func host(id logic.HostID, zone string, cell int) logic.Host {
+	return logic.Host{ID: id, Zone: zone, Kind: "box", Cell: cell, State: logic.Ready}
+}
+
+func (s *scene) say(format string, args ...any) {
+	if !s.quiet {
+		fmt.Fprintf(&s.lines, "%5d %s\n", s.now/ms, fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *scene) Hop(id logic.TxID, to logic.HostID, wait time.Duration) {
+	s.hopsTo[to]++
+	s.say("tx %d hop to %d for %d", id, to, wait/ms)
+}
+func (s *scene) CallOff(id logic.TxID, hop int) { s.say("tx %d call off hop %d", id, hop) }
+func (s *scene) RollBack(id logic.TxID, after time.Duration) {
+	s.back++
+	s.say("tx %d rolled back, come back after %d", id, after/ms)
+}
+func (s *scene) Abandon(id logic.TxID)     { s.say("tx %d abandoned", id) }
+func (s *scene) Probe(logic.HostID)        {}
+func (s *scene) Tell([]logic.Held)         {}
+func (s *scene) AskList()                  { s.say("ask for the list") }
+func (s *scene) SetTimer(in time.Duration) { s.timers = append(s.timers, s.now+in) }
+func (s *scene) Log(line string)           { s.say("log: %s", line) }
+func (s *scene) take(id, profile, tenant int) {
+	s.Take(s.now, logic.TxID(id), logic.Arrival{Profile: profile, Tenant: tenant, Budget: time.Second})
+}
+
+// wait lets time pass, with the timers that fall due.
+func (s *scene) wait(d time.Duration) *scene {
+	for until := s.now + d; ; {
+		slices.Sort(s.timers)
+		if len(s.timers) == 0 || s.timers[0] > until {
+			s.now = until
+			return s
+		}
+		s.now, s.timers = s.timers[0], s.timers[1:]
+		s.Timer(s.now)
+	}
+}
+
+func (s *scene) end(id, hop int, end logic.End, took time.Duration) {
+	s.HopEnded(s.now, logic.TxID(id), hop, logic.Result{End: end, Took: took, Load: logic.NoLoad}, end == logic.Committed)
+}
+
+// answered plays n transactions that are answered one after the other, each after 100 ms, without a word.
+func (s *scene) answered(first, n, profile int) {
+	s.quiet = true
+	for id := first; id < first+n; id++ {
+		s.take(id, profile, -1)
+		s.wait(100 * ms)
+		s.end(id, 0, logic.Committed, 100*ms)
+	}
+	s.quiet = false
+}
+
+func (s *scene) print() { fmt.Print(s.lines.String()) }
