A hop called off late speaks of a hang, as a time-out does; first traces of decisions

Cause, seen in a trace: a host that hangs looked well again as soon as its hop was called off for the second copy's answer.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -243,27 +243,31 @@
 	h := k.host
 	h.own--
 	h.report(r.Load, b.now)
-	crowd, work, took, bad := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took), false
+	crowd, work, took := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took)
+	bad, errs := false, false
 	switch r.End {
 	case Committed:
 		h.paced, h.waiting = b.now, b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
-	case TimedOut:
-		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang.
-		h.paced, h.bad, bad = b.now, true, took > overdue*work.value*crowd
+	case TimedOut, CalledOff:
+		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang. So
+		// does one called off for its second copy, or a host that hangs would be cleared each time by that.
+		bad = took > overdue*work.value*crowd
+		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
 		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
 	case Error, Broken, NoConnection, Full:
-		h.waiting, h.bad, bad = b.now, true, r.End != Full
+		errs = r.End != Full
+		h.waiting, h.bad, bad = b.now, true, errs
 	}
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
 		return
 	}
 	for _, c := range []*breaker{&h.whole, &h.by[profile]} {
-		if c.note(bad, r.End != TimedOut, b.now, b.chance.draw()) {
+		if c.note(bad, errs, b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d profile %s: breaker open %t", h.ID, b.profiles[profile].Name, c.open))
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -131,7 +131,8 @@
 	s.answered(30, 10, 0)
 	fmt.Println("reads:", s.hopsTo)
 	s.wait(3 * time.Second)
-	s.answered(40, 1, 1)
+	s.answered(40, 10, 1)
+	fmt.Println("with ten more orders:", s.hopsTo)
 	s.print()
 	// Output:
 	// ?
@@ -154,17 +155,17 @@
 	// ?
 }
 
-// Where all hosts are slow, hops that time out everywhere open no breaker, as that would jam the rest.
+// Where all hosts are slow, hops that time out everywhere open no breaker, as that would jam the rest; far longer
+// ones do.
 func Example_jam() {
 	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
 	s.answered(1, 20, 0)
-	for id := 100; id < 108; id++ { // one by one to a host that is busy with what the others sent
-		s.Told(s.now, 1, []logic.Held{{Host: 1, Hops: 12}})
-		s.quiet = true
-		s.take(id, 0, -1)
-		s.quiet = false
-		s.wait(150 * ms)
-		s.end(id, 0, logic.TimedOut, 150*ms)
+	s.quiet = true
+	for id := range 24 {
+		took := []time.Duration{110, 300}[id/12] * ms
+		s.take(100+id, 0, -1)
+		s.wait(took)
+		s.end(100+id, 0, logic.TimedOut, took)
 	}
 	s.print()
 	// Output:
@@ -184,15 +185,18 @@
 	// ?
 }
 
-// A profile that earns far more for the same work still gets room when the cheaper one is rolled back.
+// A profile that earns far more for the same work still gets room where the cheaper one is rolled back.
 func Example_yield() {
 	dear := payment
 	dear.Revenue = 5
 	s := start([]logic.Profile{read, dear}, nil, host(1, "a", 1))
 	s.answered(1, 20, 0)
-	for id := 100; id < 106; id++ {
-		s.take(id, id%2, -1)
+	s.Probed(s.now, 1, logic.Load{Held: 8, Waiting: 4, Busy: 1}) // four slots
+	s.answered(21, 40, 0)
+	for id := 100; id < 109; id++ {
+		s.take(id, 0, -1)
 	}
+	s.take(200, 1, -1)
 	s.print()
 	// Output:
 	// ?
@@ -208,28 +212,33 @@
 		s.end(1000+id, 0, logic.Committed, 16*ms)
 	}
 	s.quiet = false
-	for id := range 60 { // empties what tokens the greedy one has
-		s.quiet = id < 58
-		s.take(2000+id, 0, 0)
-	}
-	s.take(3000, 0, 1)
+	s.take(2000, 0, 1)
+	s.take(2001, 0, 0)
+	s.take(2002, 0, 2)
 	s.print()
 	// Output:
 	// ?
 }
 
-// A cold host that was seen slow is drawn again once that is long past.
+// A host seen slow while it was cold is hardly drawn, and drawn again some time after.
 func Example_forgottenPace() {
-	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.answered(1, 20, 0)
+	s.List(s.now, logic.Changes, []logic.Host{host(2, "a", 1)})
 	s.quiet = true
-	for id := range 400 {
+	for id := 100; id < 500; id++ {
 		if id%100 == 0 {
-			fmt.Println(s.hopsTo)
+			fmt.Println(s.now, s.hopsTo)
 		}
 		s.take(id, 0, -1)
-		s.wait(50 * ms)
-		s.end(id, 0, logic.Committed, 50*ms)
+		took := 60 * ms
+		if s.last == 2 && id < 200 {
+			took = 390 * ms
+		}
+		s.wait(took)
+		s.end(id, 0, logic.Committed, took)
 	}
+	fmt.Println(s.now, s.hopsTo)
 	// Output:
 	// ?
 }
--- a/logic/scene_test.go
+++ b/logic/scene_test.go
@@ -17,8 +17,10 @@
 	now    time.Duration
 	timers []time.Duration
 	hopsTo map[logic.HostID]int
-	quiet  bool // prints nothing of hops and answers, but counts hops
-	back   int
+	sent   map[logic.TxID][]time.Duration
+	last   logic.HostID // where the last hop went
+	quiet  bool         // prints nothing of hops and answers, but counts them
+	off    []func()     // hops called off that have yet to end
 	lines  strings.Builder
 }
 
@@ -31,7 +33,7 @@
 
 // start begins a scene at one second, in zone a of a and b, as the first of two gateways.
 func start(profiles []logic.Profile, tenants []logic.Tenant, hosts ...logic.Host) *scene {
-	s := &scene{now: time.Second, hopsTo: map[logic.HostID]int{}}
+	s := &scene{now: time.Second, hopsTo: map[logic.HostID]int{}, sent: map[logic.TxID][]time.Duration{}}
 	s.Balancer = logic.New(s, s.now, 7, logic.Place{Gateways: 2, Zone: "a", Zones: []string{"a", "b"}}, profiles, tenants,
 		logic.ColdRule{From: 0.25, WarmUp: 8 * time.Second, Multiple: 4, TipAfter: time.Second},
 		logic.HopRule{Most: 3, SecondCopies: true, CallOff: true, BackMost: time.Second},
@@ -46,17 +48,24 @@
 
 func (s *scene) say(format string, args ...any) {
 	if !s.quiet {
-		fmt.Fprintf(&s.lines, "%5d %s\n", s.now/ms, fmt.Sprintf(format, args...))
+		fmt.Fprintf(&s.lines, "%d %s\n", s.now/ms, fmt.Sprintf(format, args...))
 	}
 }
 
 func (s *scene) Hop(id logic.TxID, to logic.HostID, wait time.Duration) {
 	s.hopsTo[to]++
+	s.sent[id] = append(s.sent[id], s.now)
+	s.last = to
 	s.say("tx %d hop to %d for %d", id, to, wait/ms)
 }
-func (s *scene) CallOff(id logic.TxID, hop int) { s.say("tx %d call off hop %d", id, hop) }
+func (s *scene) CallOff(id logic.TxID, hop int) {
+	took := s.now - s.sent[id][hop]
+	s.off = append(s.off, func() {
+		s.HopEnded(s.now, id, hop, logic.Result{End: logic.CalledOff, Took: took, Load: logic.NoLoad}, true)
+	})
+	s.say("tx %d call off hop %d", id, hop)
+}
 func (s *scene) RollBack(id logic.TxID, after time.Duration) {
-	s.back++
 	s.say("tx %d rolled back, come back after %d", id, after/ms)
 }
 func (s *scene) Abandon(id logic.TxID)     { s.say("tx %d abandoned", id) }
@@ -64,7 +73,7 @@
 func (s *scene) Tell([]logic.Held)         {}
 func (s *scene) AskList()                  { s.say("ask for the list") }
 func (s *scene) SetTimer(in time.Duration) { s.timers = append(s.timers, s.now+in) }
-func (s *scene) Log(line string)           { s.say("log: %s", line) }
+func (s *scene) Log(line string)           { fmt.Fprintf(&s.lines, "%d log: %s\n", s.now/ms, line) }
 func (s *scene) take(id, profile, tenant int) {
 	s.Take(s.now, logic.TxID(id), logic.Arrival{Profile: profile, Tenant: tenant, Budget: time.Second})
 }
@@ -84,15 +93,19 @@
 
 func (s *scene) end(id, hop int, end logic.End, took time.Duration) {
 	s.HopEnded(s.now, logic.TxID(id), hop, logic.Result{End: end, Took: took, Load: logic.NoLoad}, end == logic.Committed)
+	for _, ended := range s.off {
+		ended()
+	}
+	s.off = nil
 }
 
-// answered plays n transactions that are answered one after the other, each after 100 ms, without a word.
+// answered plays n transactions that are answered one after the other, each after 60 ms, without a word.
 func (s *scene) answered(first, n, profile int) {
 	s.quiet = true
 	for id := first; id < first+n; id++ {
 		s.take(id, profile, -1)
-		s.wait(100 * ms)
-		s.end(id, 0, logic.Committed, 100*ms)
+		s.wait(60 * ms)
+		s.end(id, 0, logic.Committed, 60*ms)
 	}
 	s.quiet = false
 }
