--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -16,6 +16,7 @@
 
 type instance struct {
 	logic.Gateway
+	gateways          int
 	profiles, tenants map[string]int
 }
 
@@ -250,6 +251,9 @@
 		}
 	case "whisper":
 		from := int(f.int())
+		if from < 0 || from >= in.gateways {
+			f.fail("no gateway %d", from)
+		}
 		held, err := readHeld(f.text())
 		if err != nil {
 			f.fail("message: %w", err)
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,115 @@
+package simwire
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+const settings = `{"balancers":2,"dcs":["a"],"myZone":"a","discovery":"subscribe",` +
+	`"limits":{"mostHops":3,"mayTell":true,"cancelling":true,"retryAfter":true,"maxRetryAfter":500000},` +
+	`"obligations":{"askWithin":1000000,"warmUp":8000000,"coldFrom":0.3,"fallMultiple":4,"tipAfter":1000000},` +
+	`"profiles":[{"name":"pay","effect":"at_most_once","serviceGoal":400000,"revenue":1,"news":[]}],"extra":{}}`
+
+func play(lines ...string) {
+	text := strings.ReplaceAll(strings.Join(lines, "\n")+"\n", "SETTINGS", settings)
+	if err := Serve(strings.NewReader(text), os.Stdout); err != nil {
+		fmt.Println("error:", err)
+	}
+}
+
+// A batch of every common event, and its reply; an instance that is killed and started again knows nothing.
+func ExampleServe() {
+	play("round 1000000", "open_instance gateway/0 5 SETTINGS", "peers_known gateway/0 0 1 1", "m 17 a box 0 1 1 -", "end",
+		"round 2000000",
+		"ingress gateway/0 7 1 - - 900000 - pay",
+		"response gateway/0 7 0 17 no_route 200000 0 -",
+		"ingress gateway/0 8 0 - - 900000 - pay",
+		"response gateway/0 8 0 17 fault 1000 0 rif:3,q:1,lat_ms:4",
+		"response gateway/0 99 0 17 pass 1000 1 -",
+		"echo gateway/0 17 pass 900 rif:3,q:1",
+		"whisper gateway/0 1 1100000002",
+		"abandoned gateway/0 8",
+		"timeout_fired gateway/0 1",
+		"end",
+		"round 2005000", "retire gateway/0", "open_instance gateway/0 6 SETTINGS", "peers_known gateway/0 0 1 0",
+		"ingress gateway/0 9 0 - - 900000 - pay", "end", "round 2010000", "end")
+	// Output:
+	// set_alarm gateway/0 1 100000
+	// done
+	// dispatch gateway/0 7 17 395000
+	// refuse gateway/0 7 100000
+	// dispatch gateway/0 8 17 395000
+	// print gateway/0 host 17, all profiles: breaker open true
+	// print gateway/0 host 17, pay: breaker open true
+	// drop_request gateway/0 8
+	// set_alarm gateway/0 1 1
+	// announce gateway/0 -1 -
+	// track gateway/0 1
+	// done
+	// set_alarm gateway/0 1 100000
+	// refuse gateway/0 9 100000
+	// done
+	// done
+}
+
+// What is malformed ends the run with its line and a plain word on what is wrong.
+func ExampleServe_malformed() {
+	open := "open_instance gateway/0 5 SETTINGS"
+	for _, lines := range [][]string{
+		{"end"},
+		{"timeout_fired gateway/0 1"},
+		{"round soon"},
+		{"round 1", "greeting gateway/0", "end"},
+		{"round 1", "timeout_fired gateway/0 1", "end"},
+		{"round 1", open, "greeting gateway/0", "end"},
+		{"round 1", "open_instance gateway/0 5 {\"balancers\":\"two\"}", "end"},
+		{"round 1", "open_instance gateway/0 5 {\"profiles\":[{\"name\":\"x\",\"effect\":\"twice\"}]}", "end"},
+		{"round 1", open, "ingress gateway/0 7 1 - - 900000 - read", "end"},
+		{"round 1", open, "ingress gateway/0 7", "end"},
+		{"round 1", open, "response gateway/0 7 0 17 lost 1 0 -", "end"},
+		{"round 1", open, "response gateway/0 7 0 17 pass 1 1 rif:many", "end"},
+		{"round 1", open, "peers_known gateway/0 3 1 0", "end"},
+		{"round 1", open, "peers_known gateway/0 1 1 1", "end"},
+		{"round 1", open, "peers_known gateway/0 1 1 1", "m 17 a box 0 7 1 -", "end"},
+		{"round 1", open, "whisper gateway/0 1 11zz", "end"},
+		{"round 1", open, "whisper gateway/0 1 1100", "end"},
+		{"round 1", open, "whisper gateway/0 2 -", "end"},
+		{"round 1", "round 2"},
+		{"round 1"},
+	} {
+		play(lines...)
+	}
+	// Output:
+	// error: line 1: a batch ends that has not begun
+	// error: line 1: event "timeout_fired" outside a batch
+	// error: line 1: "soon" is not a whole number
+	// error: line 2: greeting for "gateway/0", which has not started
+	// error: line 2: timeout_fired for "gateway/0", which has not started
+	// set_alarm gateway/0 1 100000
+	// error: line 3: unknown event "greeting"
+	// error: line 2: settings: json: cannot unmarshal string into Go struct field opening.balancers of type int
+	// error: line 2: settings: profile x: unknown effect "twice"
+	// set_alarm gateway/0 1 100000
+	// error: line 3: ingress: unknown profile "read"
+	// set_alarm gateway/0 1 100000
+	// error: line 3: ingress: too few values
+	// set_alarm gateway/0 1 100000
+	// error: line 3: response: unknown outcome "lost"
+	// set_alarm gateway/0 1 100000
+	// error: line 3: response: "rif:many" is not a load report
+	// set_alarm gateway/0 1 100000
+	// error: line 3: peers_known: unknown kind of list 3
+	// set_alarm gateway/0 1 100000
+	// error: line 4: peers_known: "end" where an entry belongs
+	// set_alarm gateway/0 1 100000
+	// error: line 4: peers_known: entry "m 17 a box 0 7 1 -": unknown state 7
+	// set_alarm gateway/0 1 100000
+	// error: line 3: whisper: message: encoding/hex: invalid byte: U+007A 'z'
+	// set_alarm gateway/0 1 100000
+	// error: line 3: whisper: message: 2 bytes are no whole number of hosts
+	// set_alarm gateway/0 1 100000
+	// error: line 3: whisper: no gateway 2
+	// error: line 2: a batch begins within a batch
+	// error: line 2: the input ends within a batch
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -105,8 +105,8 @@
 	b.admit.refill(float64(b.place.Gateways), slowTick*tick.Seconds())
 	if b.shed > 0 {
 		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
+		b.shed = 0
 	}
-	b.shed = 0
 }
 
 // The host table: the list, drains and the cold budget.
@@ -173,10 +173,7 @@
 }
 
 func (b *Balancer) Told(now time.Duration, from int, held []Held) {
-	if b.now = now; from < 0 || from >= len(b.told) {
-		return
-	}
-	b.told[from] = now
+	b.now, b.told[from] = now, now
 	for _, h := range b.table.ready {
 		h.others -= h.told[from]
 		h.told[from] = 0
@@ -266,9 +263,10 @@
 		h.whole.trying, h.by[profile].trying = false, false
 		return
 	}
-	for _, c := range []*breaker{&h.whole, &h.by[profile]} {
+	of := [...]string{"all profiles", b.profiles[profile].Name}
+	for i, c := range []*breaker{&h.whole, &h.by[profile]} {
 		if c.note(bad, errs, b.now, b.chance.draw()) {
-			b.out.Log(fmt.Sprintf("host %d profile %s: breaker open %t", h.ID, b.profiles[profile].Name, c.open))
+			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
 }
