--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
-	paceStep    = 0.1                    // smoothing of a host's pace: its last ten answers
+	paceStep    = 0.1                    // smoothing of a host's pace, its last ten answers, and of a tenant's rate
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
@@ -50,13 +50,10 @@
 	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
-	rateStep    = 0.1                    // smoothing of a tenant's rate: about ten seconds
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
-// Time.
-
 // at has something done at its time; the one timer is set for the first of these.
 func (b *Balancer) at(when time.Duration, do func()) {
 	b.due.add(when, do)
@@ -256,8 +253,7 @@
 		h.lat.add(max(took, h.lat.value), paceStep)
 		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
 	case Error, Broken, NoConnection, Full:
-		errs = r.End != Full
-		h.waiting, h.bad, bad = b.now, true, errs
+		h.waiting, h.bad, bad, errs = b.now, true, true, true
 	}
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
@@ -265,7 +261,9 @@
 	}
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range []*breaker{&h.whole, &h.by[profile]} {
-		if c.note(bad, errs, b.now, b.chance.draw()) {
+		if i == 0 && r.End == Full {
+			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
+		} else if c.note(bad, errs, b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -404,7 +402,7 @@
 	var parts []float64
 	for i := range a.tenants {
 		t := &a.tenants[i]
-		t.rate.add(t.taken/seconds, rateStep)
+		t.rate.add(t.taken/seconds, paceStep)
 		t.taken = 0
 		parts = append(parts, t.rate.value/t.quota)
 	}
