Patience goes by the least time of a profile, not by that of a jam

Told from lost hosts: the jam outlasts the crash by ten seconds. Conclusion: 3 hops a slot, 0.5 in a hundred.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
 	copyAfter   = 2.0                    // expected times after which a second copy is sent
+	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
@@ -46,7 +47,7 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 2.5                    // hops a slot over which a host gets no more done and only slows down
+	crowdMost   = 3.0                    // hops a slot over which a host gets no more done and only slows down
 	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
 	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
@@ -278,6 +279,9 @@
 	}
 	for i := range b.work {
 		b.work[i].value *= mean.value
+		if b.free[i] *= 1 + freeRise; b.work[i].n*workStep < 1 || b.work[i].value < b.free[i] {
+			b.free[i] = b.work[i].value
+		}
 	}
 	for _, h := range b.table.ready {
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
@@ -421,7 +425,7 @@
 func (b *Balancer) patience(profile int) float64 {
 	most := math.Inf(1)
 	for i, p := range b.profiles {
-		bears, yields := min((b.admit.part+p.LateRevenue/2)*float64(p.Goal)/b.work[i].value, crowdMost), 1.0
+		bears, yields := min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.free[i])/b.work[i].value, 1.0
 		if i != profile {
 			yields = yieldPart
 			if b.earns(i) <= yieldFrom*b.earns(profile) {
@@ -471,7 +475,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	if a.Tenant >= 0 && b.admit.over(a.Tenant) {
-		most = min(most, overCrowd*b.work[a.Profile].value)
+		most = min(most, overCrowd*b.free[a.Profile])
 	}
 	h, e := b.choose(t)
 	// A host long without an answer is worth a hop: nothing else shows that its estimate is out of date. Every idle
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,7 @@
 	chance chance
 
 	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	free    []float64       // by profile: the least that has been of late, as when hosts are free
 	revenue average         // of the transactions taken
 	told    []time.Duration // by gateway: when it last told, 0 for not lately
 	shed    int             // rolled back on arrival since the last slow tick
@@ -36,7 +37,7 @@
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), told: make([]time.Duration, place.Gateways),
+		work: make([]average, len(profiles)), free: make([]float64, len(profiles)), told: make([]time.Duration, place.Gateways),
 		admit: admission{part: admitMost},
 		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
@@ -49,6 +50,7 @@
 	}
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
+		b.free[i] = float64(p.Goal)
 	}
 	b.at(now+tick, b.periodic)
 	if from.AskWithin > 0 {
