--- a/internal/simwire/held.go
+++ b/internal/simwire/held.go
@@ -13,7 +13,8 @@
 	mostBytes = 256 // what the wire takes in one message
 )
 
-// heldText is what a gateway tells the others, as the wire has it; hosts beyond what a message takes are left out.
+// heldText is what a gateway tells the others, as the wire has it; hosts beyond the message's end are left
+// out.
 func heldText(held []logic.Held) string {
 	if len(held) == 0 {
 		return "-"
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -22,7 +22,8 @@
 
 // Serve reads batches from r and writes one reply for each to w, until the input ends.
 func Serve(r io.Reader, w io.Writer) error {
-	s := &server{in: bufio.NewReaderSize(r, 1<<16), out: bufio.NewWriterSize(w, 1<<16), instances: map[string]*instance{}}
+	s := &server{in: bufio.NewReaderSize(r, 1<<16), out: bufio.NewWriterSize(w, 1<<16),
+		instances: map[string]*instance{}}
 	for {
 		line, err := s.line()
 		if errors.Is(err, io.EOF) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,8 @@
 package logic
 
-// How it is called: a protocol makes one Balancer a gateway with New and calls it through the interface Gateway;
-// the Balancer answers through Out. Both are defined in types.go, what it remembers in state.go. There is no
-// input or output, clock or goroutine in here: time comes with each call, and the same calls give the same
-// decisions. The sections: time and chance, host table, health, group choice and draw, admission, path.
+// How it is called: a protocol makes a Balancer with New and calls it through Gateway; it answers through
+// Out. Both are defined in types.go, what it remembers in state.go. There is no input, output, clock or
+// goroutine in here. The sections: time, host table, health, group choice and draw, admission, path.
 
 import (
 	"cmp"
@@ -29,7 +28,7 @@
 	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
-	paceStep    = 0.1                    // smoothing of a host's pace, its last ten answers, and of a tenant's rate
+	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
@@ -39,8 +38,8 @@
 	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
-	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full, free crossing
-	fullMost    = 0.9                    // of the goal: the same where a crossing is dear
+	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
+	fullMost    = 0.9                    // of the goal: the same at most, as twice a crossing's price is added
 	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
@@ -49,8 +48,8 @@
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 3.0                    // hops a slot over which a host gets no more done and only slows down
 	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
-	greedyFrom  = 1.5                    // of its portion from which a tenant is over it: more than chance and retries
-	overSlack   = 1.2                    // of its portion that a greedy tenant is given, as the portion is a guess
+	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
+	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -150,8 +149,8 @@
 	}
 }
 
-// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, whatever
-// the other gateways do. What the host can do is judged from what warm hosts like it get through.
+// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget. It is
+// judged from what warm hosts like it get through.
 func (t *table) coldRoom(h *host, now time.Duration) bool {
 	if !t.isCold(h, now) {
 		return true
@@ -159,7 +158,7 @@
 	for len(h.sent) > 0 && now-h.sent[0] >= t.cold.TipAfter {
 		h.sent = h.sent[1:]
 	}
-	var through average // hops a nanosecond, as if one more were out; a hop at a time where no warm host shows it
+	var through average // hops a nanosecond, as if one more were out
 	for _, o := range t.ready {
 		if o.Kind == h.Kind && o.lat.n > 0 && !t.isCold(o, now) {
 			through.add(float64(o.own+o.others+1)/o.lat.value, 0)
@@ -186,9 +185,9 @@
 
 // Health: breakers, latency and weight of a host.
 
-// note takes an outcome and tells whether the breaker changed. A good answer closes it only if a trial is out:
-// late answers to hops sent before it opened prove nothing. An error counts by its share too, since a host that
-// errs on half of its hops may never err five times in a row.
+// note takes an outcome and tells whether the breaker changed. Only a trial's answer closes it, as late
+// answers to hops sent before prove nothing. A host that errs on half of its hops may never err five times in
+// a row, so the share of errors counts too.
 func (k *breaker) note(bad, errs bool, now time.Duration, chance float64) bool {
 	was := k.open
 	switch {
@@ -270,8 +269,8 @@
 	}
 }
 
-// settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow, as cold
-// ones are, gets no hops that would show it well again: without any, its pace is forgotten.
+// settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
+// as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
 	mean := average{1, 0}
 	for _, h := range b.table.ready {
@@ -319,9 +318,9 @@
 	return b.work[profile].value * h.pace.value * max(1, h.crowd())
 }
 
-// choose takes the own group unless that is near full, else the group that promises most: a further one must promise
-// so much more as a crossing is dear, for where all are full crossings only move the jam about. Where every breaker
-// is open, any allowed host will do.
+// choose takes the own group unless that is near full, else the group that promises most: a further one the
+// more so as a crossing is dear, or they only move a jam about. If every breaker is open, any allowed host
+// will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
 	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
@@ -348,8 +347,8 @@
 	}
 }
 
-// draw picks from a group by weight, and once more where the first is slower than the mean; where the pick takes
-// longer than near all the same, the host that promises most. With it comes the group's reported utilisation.
+// draw picks from a group by weight, once more where the first is over the mean; if that is over near all the
+// same, the host that promises most. With it comes the group's reported utilisation.
 func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
 	var second, best *host
 	var mean, busy average
@@ -400,8 +399,8 @@
 	return t.greedy && t.tokens < 0
 }
 
-// refill gives each tenant the tokens of a further second. A gateway does not know its part of the traffic: it is
-// taken for an even part, or for what the middle tenant shows, so that none at a busy gateway is taken for greedy.
+// refill gives each tenant the tokens of a further second. Its portion is an even part of its quota,
+// or what the middle tenant shows, so that none at a busy gateway is taken for greedy.
 func (a *admission) refill(gateways, seconds float64) {
 	var parts []float64
 	for i := range a.tenants {
@@ -420,21 +419,20 @@
 	}
 }
 
-// patience is the expected time over which a transaction is rolled back on arrival: a part of its goal, and short
-// enough that it yields to profiles that earn far more for the same work before these are pressed themselves.
+// patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
+// that earn far more for the same work before these are pressed themselves.
 func (b *Balancer) patience(profile int) float64 {
-	most := math.Inf(1)
-	for i, p := range b.profiles {
-		bears, yields := min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.free[i])/b.work[i].value, 1.0
-		if i != profile {
-			yields = yieldPart
-			if b.earns(i) <= yieldFrom*b.earns(profile) {
-				continue
-			}
+	bears := func(i int) float64 { // times the work
+		p := &b.profiles[i]
+		return min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.free[i]) / b.work[i].value
+	}
+	most := bears(profile)
+	for i := range b.profiles {
+		if b.earns(i) > yieldFrom*b.earns(profile) {
+			most = min(most, yieldPart*bears(i))
 		}
-		most = min(most, yields*bears*b.work[profile].value)
 	}
-	return most
+	return most * b.work[profile].value
 }
 
 // earns is what a profile earns for the same work.
@@ -467,7 +465,7 @@
 	b.now = now
 	p := &b.profiles[a.Profile]
 	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget}
-	// Stopped at its goal, an idempotent one would only come again: a late answer at least ends its client's tries.
+	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
@@ -478,8 +476,8 @@
 		most = min(most, overCrowd*b.free[a.Profile])
 	}
 	h, e := b.choose(t)
-	// A host long without an answer is worth a hop: nothing else shows that its estimate is out of date. Every idle
-	// host would be too many, as with many gateways each holds few hops and its hosts are idle to it in any jam.
+	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
+	// would be too many: to one of many gateways most hosts are idle in any jam.
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge) {
 		b.shed++
 		b.finish(t, max(tick, time.Duration(e-most)))
@@ -529,8 +527,7 @@
 	return true
 }
 
-// finish gives the final answer at once: rolled back where nothing can be left behind, with the time after which
-// to come back where clients keep to that; else abandoned.
+// finish gives the final answer at once: rolled back where nothing can be left behind, else abandoned.
 func (b *Balancer) finish(t *tx, back time.Duration) {
 	if t.prof.Effect == Idempotent || t.ran() == nil || t.prof.Effect == Journalled && t.prof.Reach == AllHosts {
 		b.out.RollBack(t.id, min(back, b.hops.BackMost))
@@ -563,10 +560,9 @@
 	t.out--
 	b.learn(k, t.profile, r)
 	if t.done || over {
-		b.settle(t)
-	} else {
-		k.then()
+		k.then = func() { b.settle(t) }
 	}
+	k.then()
 }
 
 func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -37,7 +37,8 @@
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), free: make([]float64, len(profiles)), told: make([]time.Duration, place.Gateways),
+		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
+		told:  make([]time.Duration, place.Gateways),
 		admit: admission{part: admitMost},
 		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
--- a/logic/types.go
+++ b/logic/types.go
@@ -114,8 +114,8 @@
 	Quota float64
 }
 
-// Arrival describes a transaction taken. Profile and Tenant are places in the lists given at the start, Tenant -1
-// where there is none.
+// Arrival describes a transaction taken. Profile and Tenant are places in the lists given at the start;
+// Tenant is -1 where there is none.
 type Arrival struct {
 	Profile, Tenant int
 	Budget          time.Duration
