--- a/logic/logic.go
+++ b/logic/logic.go
@@ -278,7 +278,8 @@
 	}
 	for i := range b.work {
 		b.work[i].value *= mean.value
-		if b.free[i] *= 1 + freeRise; b.work[i].n*workStep < 1 || b.work[i].value < b.free[i] {
+		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
+		if b.from.Tells || b.work[i].n*workStep < 1 || b.work[i].value < b.free[i] {
 			b.free[i] = b.work[i].value
 		}
 	}
