--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 3.0                    // hops a slot over which a host gets no more done and only slows down
+	crowdMost   = 2.5                    // hops a slot over which a host gets no more done and only slows down
 	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
