--- a/logic/logic.go
+++ b/logic/logic.go
@@ -474,7 +474,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	if a.Tenant >= 0 && b.admit.over(a.Tenant) {
-		most = min(most, overCrowd*b.free[a.Profile])
+		most = min(most, overCrowd*b.work[a.Profile].value)
 	}
 	h, e := b.choose(t)
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
