--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
 	copyAfter   = 2.0                    // expected times after which a second copy is sent
-	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
+	freeRise    = 0.03                   // a second: how fast the least time of a profile is forgotten, a minute
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
@@ -474,7 +474,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	if a.Tenant >= 0 && b.admit.over(a.Tenant) {
-		most = min(most, overCrowd*b.work[a.Profile].value)
+		most = min(most, overCrowd*b.free[a.Profile])
 	}
 	h, e := b.choose(t)
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
