--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,8 +16,7 @@
 const (
 	tick        = 100 * time.Millisecond // telling and load sampling: a few hops' time, cheap at any size
 	slowTick    = 10                     // ticks between weight changes: a second, as the decision record has it
-	askAgain    = time.Second            // first delay after a lost list, doubled each time
-	askMost     = 4 * time.Second        // longest delay, lists being seconds late anyway; less where it must be
+	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
 	shareToOpen = 0.25                   // share of errors that opens it: two close together
 	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
@@ -35,7 +34,7 @@
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
 	copyAfter   = 2.0                    // expected times after which a second copy is sent
-	freeRise    = 0.03                   // a second: how fast the least time of a profile is forgotten, a minute
+	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
@@ -46,7 +45,8 @@
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 2.5                    // hops a slot over which a host gets no more done and only slows down
+	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
 	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -116,7 +116,7 @@
 		t.lost++
 		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.lost))
 		// Spread, or all gateways would call again together and be late together.
-		wait := (0.5 + b.chance.draw()/2) * float64(min(askAgain<<min(t.lost-1, 8), askMost, b.from.AskWithin))
+		wait := (0.5 + b.chance.draw()/2) * float64(min(askAgain<<min(t.lost-1, 2), b.from.AskWithin))
 		b.at(now+time.Duration(wait), b.out.AskList)
 		return
 	case Whole, Cached:
@@ -425,7 +425,7 @@
 func (b *Balancer) patience(profile int) float64 {
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
-		return min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), crowdMost*b.free[i]) / b.work[i].value
+		return min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), b.admit.crowd*b.free[i]) / b.work[i].value
 	}
 	most := bears(profile)
 	for i := range b.profiles {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -236,7 +236,7 @@
 	// 2200 tx 101 hop to 1 for 1000
 	// 2200 tx 102 hop to 2 for 1000
 	// 2200 tx 103 hop to 2 for 1000
-	// 2200 tx 104 rolled back, come back after 100
+	// 2200 tx 104 hop to 1 for 1000
 	// 2200 tx 105 rolled back, come back after 100
 	// 2200 tx 106 rolled back, come back after 100
 	// 2200 tx 107 rolled back, come back after 100
@@ -257,7 +257,7 @@
 	s.take(200, 1, -1)
 	s.print()
 	// Output:
-	// 4600 tx 113 rolled back, come back after 100
+	// 4600 tx 113 hop to 1 for 1000
 	// 4600 tx 114 rolled back, come back after 100
 	// 4600 tx 115 rolled back, come back after 100
 	// 4600 tx 200 hop to 1 for 395
@@ -343,11 +343,10 @@
 	}
 	s.print()
 	// Output:
-	// 7000 log: last second: 1 rolled back on arrival
-	// 8000 log: last second: 3 rolled back on arrival
-	// 9000 log: last second: 2 rolled back on arrival
-	// 10000 log: last second: 2 rolled back on arrival
-	// 11000 log: last second: 2 rolled back on arrival
+	// 8000 log: last second: 2 rolled back on arrival
+	// 9000 log: last second: 3 rolled back on arrival
+	// 10000 log: last second: 1 rolled back on arrival
+	// 11000 log: last second: 3 rolled back on arrival
 	// 12000 log: last second: 3 rolled back on arrival
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,7 +39,7 @@
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
 		told:  make([]time.Duration, place.Gateways),
-		admit: admission{part: admitMost},
+		admit: admission{part: admitMost, crowd: crowdUntold},
 		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
 	b.table.zones = append(slices.Clone(place.Zones[own:]), place.Zones[:own]...)
@@ -49,6 +49,9 @@
 	if price.Misses {
 		b.admit.part = admitTail
 	}
+	if from.Tells {
+		b.admit.crowd = crowdMost
+	}
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
 		b.free[i] = float64(p.Goal)
@@ -178,6 +181,7 @@
 type admission struct {
 	tenants []tenant
 	part    float64 // of the goal that a transaction's expected time may take on arrival
+	crowd   float64 // hops a slot up to which a host may be filled
 }
 
 // tenant counts in transactions a second of this gateway.
