--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
-	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
+	overCrowd   = 1.8                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
