--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
-	overCrowd   = 1.8                    // the same for a tenant over its share: a free slot at a usual host
+	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
@@ -353,7 +353,7 @@
 func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
 	var second, best *host
 	var mean, busy average
-	var weights, e2, least float64
+	var e2, least, first, next float64
 	for _, h := range g {
 		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) || !barred && h.silent(b.now) {
 			continue
@@ -370,12 +370,14 @@
 		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
 		}
-		weights += h.weight
-		if b.chance.draw()*weights < h.weight { // the n-th replaces those before it as often as its weight asks
-			pick, e = h, x
+		u := b.chance.draw()
+		if t.key != "" { // hosts that met a key do its work with less: each key has its own order of them
+			u = keyed(t.key, h.ID)
 		}
-		if b.chance.draw()*weights < h.weight {
-			second, e2 = h, x
+		if lot := math.Log(u) / h.weight; pick == nil || lot > first { // the largest falls to each by weight
+			pick, second, e, e2, first, next = h, pick, x, e, lot, first
+		} else if second == nil || lot > next {
+			second, e2, next = h, x, lot
 		}
 		if best == nil || x < least {
 			best, least = h, x
@@ -465,7 +467,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,6 +63,13 @@
 	return b
 }
 
+// keyed is even over (0, 1), and the same for the same key and host.
+func keyed(key string, id HostID) float64 {
+	sum := crc32.Update(uint32(id), crc32.IEEETable, []byte(key))
+	mixed := binary.LittleEndian.AppendUint64(nil, uint64(sum)*uint64(id|1))
+	return (float64(crc32.ChecksumIEEE(mixed)) + 1) / (1<<32 + 1)
+}
+
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
@@ -195,6 +202,7 @@
 	id      TxID
 	profile int
 	prof    *Profile
+	key     string
 	stop    time.Duration // when an answer earns nothing more, or the budget ends
 	hops    []hop
 	out     int  // hops out
