--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
 	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
 	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
-	slowFactor  = 1.5                    // latency over the group's median that cuts it, ditto
+	slowFactor  = 1.5                    // latency over the group's median that cuts it, ditto; well over the mean
 	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
@@ -348,7 +348,7 @@
 	}
 }
 
-// draw picks from a group by weight, once more where the first is over the mean; if that is over near all the
+// draw picks from a group by weight, once more where that is well over the mean; if that is over near all the
 // same, the host that promises most. With it comes the group's reported utilisation.
 func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
 	var second, best *host
@@ -370,11 +370,8 @@
 		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
 		}
-		u := b.chance.draw()
-		if t.key != "" { // hosts that met a key do its work with less: each key has its own order of them
-			u = keyed(t.key, h.ID)
-		}
-		if lot := math.Log(u) / h.weight; pick == nil || lot > first { // the largest falls to each by weight
+		// The largest lot falls to each host as often as its weight asks; the lots of a key are always the same.
+		if lot := math.Log(b.chance.keyed(t.key, h.ID)) / h.weight; pick == nil || lot > first {
 			pick, second, e, e2, first, next = h, pick, x, e, lot, first
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
@@ -383,7 +380,7 @@
 			best, least = h, x
 		}
 	}
-	if e > mean.value && e2 < e {
+	if e > slowFactor*mean.value && e2 < e {
 		pick, e = second, e2
 	}
 	if e > near {
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,13 +63,6 @@
 	return b
 }
 
-// keyed is even over (0, 1), and the same for the same key and host.
-func keyed(key string, id HostID) float64 {
-	sum := crc32.Update(uint32(id), crc32.IEEETable, []byte(key))
-	mixed := binary.LittleEndian.AppendUint64(nil, uint64(sum)*uint64(id|1))
-	return (float64(crc32.ChecksumIEEE(mixed)) + 1) / (1<<32 + 1)
-}
-
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
@@ -130,6 +123,16 @@
 	return float64(crc32.Update(c.seed, crc32.IEEETable, mixed)) / (1 << 32)
 }
 
+// keyed is even over (0, 1) too. For the same key and host it is always the same; without a key it is a draw.
+func (c *chance) keyed(key string, id HostID) float64 {
+	if key == "" {
+		return c.draw()
+	}
+	sum := crc32.Update(uint32(id), crc32.IEEETable, []byte(key))
+	mixed := binary.LittleEndian.AppendUint64(nil, uint64(sum)*uint64(id|1))
+	return (float64(crc32.ChecksumIEEE(mixed)) + 1) / (1<<32 + 1)
+}
+
 type table struct {
 	byID     map[HostID]*host
 	places   map[string]*average // by kind: hops in work at a full host, where reports show it
