--- a/logic/logic.go
+++ b/logic/logic.go
@@ -370,8 +370,8 @@
 		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
 		}
-		// The largest lot falls to each host as often as its weight asks; the lots of a key are always the same.
-		if lot := math.Log(b.chance.keyed(t.key, h.ID)) / h.weight; pick == nil || lot > first {
+		// The largest lot falls to each host as often as its weight asks.
+		if lot := math.Log(b.chance.draw()) / h.weight; pick == nil || lot > first {
 			pick, second, e, e2, first, next = h, pick, x, e, lot, first
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
@@ -464,7 +464,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -89,15 +89,15 @@
 		fmt.Println("second", second, "hops:", s.hopsTo)
 	}
 	// Output:
-	// second 0 hops: map[1:26 2:24]
-	// second 1 hops: map[1:17 2:33]
-	// second 2 hops: map[1:9 2:41]
-	// second 3 hops: map[1:15 2:35]
-	// second 4 hops: map[1:6 2:44]
-	// second 5 hops: map[1:11 2:39]
-	// second 6 hops: map[1:11 2:39]
-	// second 7 hops: map[1:13 2:37]
-	// second 8 hops: map[1:13 2:37]
+	// second 0 hops: map[1:27 2:23]
+	// second 1 hops: map[1:25 2:25]
+	// second 2 hops: map[1:20 2:30]
+	// second 3 hops: map[1:30 2:20]
+	// second 4 hops: map[1:27 2:23]
+	// second 5 hops: map[1:26 2:24]
+	// second 6 hops: map[1:28 2:22]
+	// second 7 hops: map[1:28 2:22]
+	// second 8 hops: map[1:28 2:22]
 }
 
 // Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
@@ -119,8 +119,8 @@
 	s.end(99, 0, logic.Error, ms) // never taken
 	s.print()
 	// Output:
-	// 1000 tx 1 hop to 3 for 395
-	// 1000 tx 2 hop to 1 for 1000
+	// 1000 tx 1 hop to 1 for 395
+	// 1000 tx 2 hop to 3 for 1000
 	// 1000 tx 3 hop to 2 for 1000
 	// 1395 tx 1 abandoned
 	// 1395 tx 4 rolled back, come back after 100
@@ -172,7 +172,7 @@
 	// Output:
 	// orders: map[2:10]
 	// reads: map[1:4 2:6]
-	// with ten more orders: map[1:8 2:12]
+	// with ten more orders: map[1:9 2:11]
 	// 1120 tx 13 abandoned
 	// 1240 log: host 1, order: breaker open true
 	// 1240 tx 17 abandoned
@@ -193,7 +193,7 @@
 	fmt.Println("after that:", s.hopsTo)
 	s.print()
 	// Output:
-	// after that: map[1:1 2:9]
+	// after that: map[1:4 2:6]
 	// 2200 tx 50 hop to 1 for 1000
 	// 2320 tx 50 hop to 2 for 880
 	// 2610 tx 50 call off hop 0
@@ -306,9 +306,9 @@
 	// Output:
 	// 2.2s map[1:20]
 	// 8.86s map[1:120 2:2]
-	// 14.86s map[1:206 2:16]
-	// 20.86s map[1:278 2:44]
-	// 26.86s map[1:348 2:74]
+	// 14.86s map[1:173 2:49]
+	// 20.86s map[1:226 2:96]
+	// 26.86s map[1:277 2:145]
 }
 
 // A profile that is turned away as full while others are answered is kept off that host.
--- a/logic/state.go
+++ b/logic/state.go
@@ -123,16 +123,6 @@
 	return float64(crc32.Update(c.seed, crc32.IEEETable, mixed)) / (1 << 32)
 }
 
-// keyed is even over (0, 1) too. For the same key and host it is always the same; without a key it is a draw.
-func (c *chance) keyed(key string, id HostID) float64 {
-	if key == "" {
-		return c.draw()
-	}
-	sum := crc32.Update(uint32(id), crc32.IEEETable, []byte(key))
-	mixed := binary.LittleEndian.AppendUint64(nil, uint64(sum)*uint64(id|1))
-	return (float64(crc32.ChecksumIEEE(mixed)) + 1) / (1<<32 + 1)
-}
-
 type table struct {
 	byID     map[HostID]*host
 	places   map[string]*average // by kind: hops in work at a full host, where reports show it
@@ -205,7 +195,6 @@
 	id      TxID
 	profile int
 	prof    *Profile
-	key     string
 	stop    time.Duration // when an answer earns nothing more, or the budget ends
 	hops    []hop
 	out     int  // hops out
--- a/logic/types.go
+++ b/logic/types.go
@@ -118,7 +118,6 @@
 // Tenant is -1 where there is none.
 type Arrival struct {
 	Profile, Tenant int
-	Key             string // a host that met it lately does its work with less; empty where that is not so
 	Budget          time.Duration
 }
 
