--- a/logic/logic.go
+++ b/logic/logic.go
@@ -279,7 +279,7 @@
 	for i := range b.work {
 		b.work[i].value *= mean.value
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || b.work[i].n*workStep < 1 || b.work[i].value < b.free[i] {
+		if b.from.Tells || b.work[i].value < b.free[i] && b.work[i].n*workStep > 1 {
 			b.free[i] = b.work[i].value
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -54,7 +54,7 @@
 	}
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
-		b.free[i] = float64(p.Goal)
+		b.free[i] = b.work[i].value
 	}
 	b.at(now+tick, b.periodic)
 	if from.AskWithin > 0 {
