--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,7 @@
 	coolFirst   = 2 * time.Second       // first cooldown: one trial costs little, a barred host much
 	coolMost    = 5 * time.Second       // longest cooldown, the decision record's figure
 	cutFactor   = 0.7                   // weight after a bad second, the decision record's figure
-	slowFactor  = 1.5                   // latency over the group's median that cuts it, ditto; well over the mean
+	slowFactor  = 1.5                   // latency over the median that cuts it, ditto; well over the mean
 	raisePart   = 0.1                   // part of the mean weight gained in a good second, ditto
 	weightLeast = 0.1                   // of the mean weight, ditto
 	weightMost  = 2.0                   // of the mean weight, ditto
@@ -132,9 +132,8 @@
 		t.byID[entry.ID], t.places[entry.Kind] = h, cmp.Or(t.places[entry.Kind], &average{})
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
-			h.health = health{weight: 1, pace: average{1, priorPaces},
-				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}
-			h.sent = nil
+			h.health, h.sent = health{weight: 1, pace: average{1, priorPaces},
+				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}, nil
 		}
 		h.Host = entry
 	}
@@ -279,8 +278,10 @@
 	for i := range b.work {
 		b.work[i].value *= mean.value
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || b.work[i].value < b.free[i] && b.work[i].n*workStep > 1 {
+		if b.from.Tells || b.work[i].value < b.free[i] {
 			b.free[i] = b.work[i].value
+		} else if b.work[i].n*workStep < 1 { // a day may begin in a jam
+			b.free[i] = min(b.work[i].value, firstGuess*float64(b.profiles[i].Goal))
 		}
 	}
 	for _, h := range b.table.ready {
@@ -480,7 +481,7 @@
 	// would be too many: to one of many gateways most hosts are idle in any jam.
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge) {
 		b.shed++
-		b.finish(t, max(tick, time.Duration(e-most)))
+		b.finish(t)
 		return
 	}
 	b.send(t, h, e)
@@ -500,7 +501,7 @@
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
-			b.finish(t, tick)
+			b.finish(t)
 		}
 	}})
 	b.out.Hop(t.id, h.ID, t.stop-b.now)
@@ -527,10 +528,10 @@
 	return true
 }
 
-// finish gives the final answer at once: rolled back where nothing can be left behind, else abandoned.
-func (b *Balancer) finish(t *tx, back time.Duration) {
+// finish answers at once: rolled back where nothing is left, to come back after its usual time; or abandoned.
+func (b *Balancer) finish(t *tx) {
 	if t.prof.Effect == Idempotent || t.ran() == nil || t.prof.Effect == Journalled && t.prof.Reach == AllHosts {
-		b.out.RollBack(t.id, min(back, b.hops.BackMost))
+		b.out.RollBack(t.id, min(time.Duration(b.work[t.profile].value), b.hops.BackMost))
 	} else {
 		b.out.Abandon(t.id)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -67,7 +67,7 @@
 	// Output:
 	// hops while 1 drains: map[2:20]
 	// hops after 2 is gone: map[1:20 2:20]
-	// 3400 tx 41 rolled back, come back after 100
+	// 3400 tx 41 rolled back, come back after 60
 }
 
 // Rule 4: a cold host gets one hop a window at first, then by what a warm host of its kind gets through.
@@ -123,7 +123,7 @@
 	// 1000 tx 2 hop to 3 for 1000
 	// 1000 tx 3 hop to 2 for 1000
 	// 1395 tx 1 abandoned
-	// 1395 tx 4 rolled back, come back after 100
+	// 1395 tx 4 rolled back, come back after 395
 }
 
 // A lost list is asked for again after spread and growing delays, before the gateway would count as told.
@@ -237,9 +237,9 @@
 	// 2200 tx 102 hop to 2 for 1000
 	// 2200 tx 103 hop to 2 for 1000
 	// 2200 tx 104 hop to 1 for 1000
-	// 2200 tx 105 rolled back, come back after 100
-	// 2200 tx 106 rolled back, come back after 100
-	// 2200 tx 107 rolled back, come back after 100
+	// 2200 tx 105 rolled back, come back after 60
+	// 2200 tx 106 rolled back, come back after 60
+	// 2200 tx 107 rolled back, come back after 60
 }
 
 // A profile that earns far more for the same work still gets room where the cheaper one is rolled back.
@@ -258,8 +258,8 @@
 	s.print()
 	// Output:
 	// 4600 tx 113 hop to 1 for 1000
-	// 4600 tx 114 rolled back, come back after 100
-	// 4600 tx 115 rolled back, come back after 100
+	// 4600 tx 114 rolled back, come back after 60
+	// 4600 tx 115 rolled back, come back after 60
 	// 4600 tx 200 hop to 1 for 395
 }
 
@@ -280,7 +280,7 @@
 	s.print()
 	// Output:
 	// 4840 tx 2000 hop to 1 for 1000
-	// 4840 tx 2001 rolled back, come back after 100
+	// 4840 tx 2001 rolled back, come back after 16
 	// 4840 tx 2002 hop to 1 for 1000
 }
 
