--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,9 +57,7 @@
 // at has something done at its time; the one timer is set for the first of these.
 func (b *Balancer) at(when time.Duration, do func()) {
 	b.due.add(when, do)
-	if wait := b.due.arm(b.now); wait > 0 {
-		b.out.SetTimer(wait)
-	}
+	b.due.arm(b.now, b.out.SetTimer)
 }
 
 func (b *Balancer) Timer(now time.Duration) {
@@ -67,9 +65,7 @@
 	for do := b.due.next(now); do != nil; do = b.due.next(now) {
 		do()
 	}
-	if wait := b.due.arm(now); wait > 0 {
-		b.out.SetTimer(wait)
-	}
+	b.due.arm(now, b.out.SetTimer)
 }
 
 func (b *Balancer) periodic() {
@@ -101,9 +97,9 @@
 	}
 	b.admit.refill(float64(b.place.Gateways), slowTick*tick.Seconds())
 	if b.shed > 0 {
-		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
-		b.shed = 0
+		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival, %d hops into other zones", b.shed, b.spilt))
 	}
+	b.shed, b.spilt = 0, 0
 }
 
 // The host table: the list, drains and the cold budget.
@@ -135,7 +131,10 @@
 			h.health, h.sent = health{weight: 1, pace: average{1, priorPaces},
 				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}, nil
 		}
-		h.Host = entry
+		if h.Host = entry; h.sent == nil && t.isCold(h, now) {
+			h.sent = []time.Duration{}
+			b.out.Log(fmt.Sprintf("host %d starts cold", h.ID))
+		}
 	}
 	t.ready, t.groups = nil, make([][]*host, len(t.zones))
 	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
@@ -491,6 +490,9 @@
 	for _, k := range []*breaker{&h.whole, &h.by[t.profile]} {
 		k.trying = k.trying || k.open && b.now >= k.until
 	}
+	if h.Zone != b.place.Zone {
+		b.spilt++
+	}
 	if b.table.isCold(h, b.now) {
 		h.sent = append(h.sent, b.now)
 	}
@@ -516,11 +518,8 @@
 
 // again sends a further hop where a host can still answer in time, and within most; it tells whether it did.
 func (b *Balancer) again(t *tx, most float64) bool {
-	if len(t.hops) >= b.hops.Most {
-		return false
-	}
 	h, e := b.choose(t)
-	if h == nil || e >= min(float64(t.stop-b.now), most) {
+	if h == nil || len(t.hops) >= b.hops.Most || e >= min(float64(t.stop-b.now), most) {
 		return false
 	}
 	b.send(t, h, e)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -352,11 +352,11 @@
 	}
 	s.print()
 	// Output:
-	// 8000 log: last second: 2 rolled back on arrival
-	// 9000 log: last second: 3 rolled back on arrival
-	// 10000 log: last second: 1 rolled back on arrival
-	// 11000 log: last second: 3 rolled back on arrival
-	// 12000 log: last second: 3 rolled back on arrival
+	// 8000 log: last second: 2 rolled back on arrival, 0 hops into other zones
+	// 9000 log: last second: 3 rolled back on arrival, 0 hops into other zones
+	// 10000 log: last second: 1 rolled back on arrival, 0 hops into other zones
+	// 11000 log: last second: 3 rolled back on arrival, 0 hops into other zones
+	// 12000 log: last second: 3 rolled back on arrival, 0 hops into other zones
 }
 
 // The same calls give the same decisions.
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,8 +29,9 @@
 	free    []float64       // by profile: the least that has been of late, as when hosts are free
 	errs    average         // share of errors at all hosts
 	revenue average         // of the transactions taken
-	told    []time.Duration // by gateway: when it last told, 0 for not lately
+	told    []time.Duration // by gateway: when it last told, or was last given up
 	shed    int             // rolled back on arrival since the last slow tick
+	spilt   int             // hops into other zones since then
 }
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
@@ -105,14 +106,12 @@
 	return do
 }
 
-// arm says how long a timer must be set for, 0 where the one already set is soon enough.
-func (d *dueTimes) arm(now time.Duration) time.Duration {
-	first := max(d.items[0].at, now+1)
-	if d.armed > 0 && d.armed <= first {
-		return 0
+// arm sets a timer for the first, unless one that is set is soon enough.
+func (d *dueTimes) arm(now time.Duration, set func(time.Duration)) {
+	if first := max(d.items[0].at, now+1); d.armed == 0 || first < d.armed {
+		d.armed = first
+		set(first - now)
 	}
-	d.armed = first
-	return first - now
 }
 
 // chance gives the same draws for the same seed.
@@ -146,7 +145,7 @@
 	others int   // hops of the other gateways out, as told
 	told   []int // the same by gateway
 	health
-	sent []time.Duration // hops within the last TipAfter, kept while cold
+	sent []time.Duration // hops within the last TipAfter, nil unless it started cold
 }
 
 type health struct {
