--- a/logic/state.go
+++ b/logic/state.go
@@ -170,6 +170,11 @@
 // crowd is how many hops a slot a host would hold with one more.
 func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
 
+// calm tells whether a host has lately reported that it has room to spare.
+func (h *host) calm(now time.Duration) bool {
+	return h.busyAt > 0 && now-h.busyAt < staleAge && h.busy < busyCalm
+}
+
 type breaker struct {
 	row    int           // failures in a row
 	share  float64       // smoothed share of errors
