--- a/logic/logic.go
+++ b/logic/logic.go
@@ -473,7 +473,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	h, e := b.choose(t)
-	if a.Tenant >= 0 && b.admit.over(a.Tenant) && h != nil && !h.calm(b.now) {
+	if a.Tenant >= 0 && b.admit.over(a.Tenant) && h != nil && (h.Zone != b.place.Zone || !h.calm(b.now)) {
 		most = min(most, overCrowd*b.free[a.Profile])
 	}
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
