--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	yieldPart   = 0.8                   // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                   // hops a slot over which a host gets no more done and only slows down
 	crowdUntold = 3.0                   // the same where only the own ones are known, and the time is the least
-	busyCalm    = 0.7                   // reported utilisation well under that, where a host has room for anyone
+	busyCalm    = 0.6                   // reported utilisation well under that, where a host has room for anyone
 	overCrowd   = 1.0                   // the same for a tenant over its share: a free slot at a usual host
 	greedyFrom  = 1.5                   // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                   // of its portion that it has all the same, as the portion is a guess
@@ -473,7 +473,7 @@
 	b.txs[id] = t
 	most := b.patience(a.Profile)
 	h, e := b.choose(t)
-	if a.Tenant >= 0 && b.admit.over(a.Tenant) && h != nil && (h.Zone != b.place.Zone || !h.calm(b.now)) {
+	if a.Tenant >= 0 && b.admit.over(a.Tenant) && h != nil && !h.calm(b.now) {
 		most = min(most, overCrowd*b.free[a.Profile])
 	}
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
