--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -11,6 +11,7 @@
 // opening is the settings object with which an instance starts; what it holds beyond this is disregarded.
 type opening struct {
 	Balancers int      `json:"balancers"`
+	Me        int      `json:"me"`
 	MyZone    string   `json:"myZone"`
 	Zones     []string `json:"dcs"`
 	Profiles  []struct {
@@ -48,6 +49,7 @@
 	} `json:"blend"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
+		Peer      float64 `json:"peer"`
 	} `json:"prices"`
 	Report struct {
 		Via string `json:"via"`
@@ -97,14 +99,14 @@
 		askWithin = micros(o.Obligations.AskWithin)
 	}
 	in.Gateway = logic.New(out, now, seed,
-		logic.Place{Gateways: o.Balancers, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
+		logic.Place{Gateways: o.Balancers, Me: o.Me, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
 		logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
 			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
 		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling,
 			BackMost: back},
 		logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
 			AskWithin: askWithin},
-		logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
+		logic.Price{Crossing: o.Prices.CrossZone, Told: o.Prices.Peer * heldBytes / mostBytes, ByWork: o.RevenueBy == "work",
 			Misses: o.Blend.Tail > 0})
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	tick        = 25 * time.Millisecond // telling and load sampling: a few hops' time, cheap at any size
-	slowTick    = 40                    // ticks between weight changes: a second, as the decision record has it
+	tick        = 25 * time.Millisecond // changes wait so long to be told together: far less than a hop's time
+	second      = time.Second           // between weight changes, as the decision record has it
+	fewGateways = 8                     // that may each tell, probe and try for themselves at a bearable price
+	tellPart    = 0.01                  // of the revenue that telling sums may cost: little, knowing much
+	askEach     = 25 * time.Millisecond // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second           // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                     // failures in a row that open a breaker, the paper's figure
 	shareToOpen = 0.25                  // share of errors over that at all hosts: two or three close together
@@ -69,40 +72,41 @@
 	b.due.arm(now, b.out.SetTimer)
 }
 
+// periodic is the work of each second.
 func (b *Balancer) periodic() {
-	b.at(b.now+tick, b.periodic)
-	b.ticks++
-	var held []Held
-	for i, h := range b.table.ready {
+	b.at(b.now+second, b.periodic)
+	for _, h := range b.table.ready {
+		for from, k := range h.heldBy { // order does not matter: what is too old goes
+			if b.now-k.at > staleAge {
+				h.others -= k.hops
+				delete(h.heldBy, from)
+			}
+		}
 		if h.own > 0 {
-			held = append(held, Held{h.ID, h.own})
+			b.unsaid(h)
 		}
-		if b.from.Probes && (b.ticks+i)%slowTick == 0 && !b.table.isCold(h, b.now) {
+		if b.from.Probes && !b.table.isCold(h, b.now) && b.rare() {
 			b.out.Probe(h.ID)
 		}
 	}
-	if b.from.Tells && b.place.Gateways > 1 {
-		b.out.Tell(held)
-	}
-	for from, at := range b.told {
-		if b.now-at > staleAge {
-			b.Told(b.now, from, nil)
+	for _, g := range b.table.groups {
+		if g.awaited > g.heard && b.now-g.awaited > staleAge {
+			g.skip++ // who collects for this zone is silent: the next one
+			g.awaited = 0
 		}
-	}
-	if b.ticks%slowTick != 0 {
-		return
+		reweigh(g.hosts)
 	}
 	b.settlePaces()
-	for _, g := range b.table.groups {
-		reweigh(g)
-	}
-	b.admit.refill(float64(b.place.Gateways), slowTick*tick.Seconds())
+	b.admit.refill(float64(b.place.Gateways), second.Seconds())
 	if b.shed > 0 {
 		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival, %d hops into other zones", b.shed, b.spilt))
 	}
 	b.shed, b.spilt = 0, 0
 }
 
+// rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
+func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
+
 // The host table: the list, drains and the cold budget.
 
 func (b *Balancer) List(now time.Duration, kind ListKind, hosts []Host) {
@@ -112,9 +116,7 @@
 	case Lost:
 		t.lost++
 		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.lost))
-		// Spread, or all gateways would call again together and be late together.
-		wait := (0.5 + b.chance.draw()/2) * float64(min(askAgain<<min(t.lost-1, 2), b.from.AskWithin))
-		b.at(now+time.Duration(wait), b.out.AskList)
+		b.at(now+b.spread(min(askAgain<<min(t.lost-1, 2), b.from.AskWithin)), b.out.AskList)
 		return
 	case Whole, Cached:
 		for _, h := range t.byID {
@@ -125,7 +127,7 @@
 		t.lost = 0
 	}
 	for _, entry := range hosts {
-		h := cmp.Or(t.byID[entry.ID], &host{told: make([]int, t.gateways)})
+		h := cmp.Or(t.byID[entry.ID], &host{heldBy: map[int]heldBy{}})
 		t.byID[entry.ID], t.places[entry.Kind] = h, cmp.Or(t.places[entry.Kind], &average{})
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
@@ -137,17 +139,29 @@
 			b.out.Log(fmt.Sprintf("host %d starts cold", h.ID))
 		}
 	}
-	t.ready, t.groups = nil, make([][]*host, len(t.zones))
+	t.ready = nil
+	for _, g := range t.groups {
+		g.hosts = nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
-		if h := t.byID[id]; h.State == Ready {
-			t.ready = append(t.ready, h)
-			if i := slices.Index(t.zones, h.Zone); i >= 0 {
-				t.groups[i] = append(t.groups[i], h)
-			}
+		h := t.byID[id]
+		i := slices.IndexFunc(t.groups, func(g *group) bool { return g.zone == h.Zone })
+		if h.State == Ready && i >= 0 {
+			h.group = t.groups[i]
+			t.ready, h.group.hosts = append(t.ready, h), append(h.group.hosts, h)
+		} else if h.State == Gone && h.own == 0 {
+			delete(t.byID, id)
 		}
 	}
 }
 
+// spread is a time by chance for a call of the list. All gateways in step would be late together, and the more
+// there are, the longer one source takes to answer them.
+func (b *Balancer) spread(usual time.Duration) time.Duration {
+	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin)
+	return time.Duration((0.5 + b.chance.draw()/2) * float64(all))
+}
+
 // coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget. It is
 // judged from what warm hosts like it get through.
 func (t *table) coldRoom(h *host, now time.Duration) bool {
@@ -168,18 +182,121 @@
 	return float64(len(h.sent)) < max(1, math.Floor(coldPart*budget))
 }
 
-func (b *Balancer) Told(now time.Duration, from int, held []Held) {
-	b.now, b.told[from] = now, now
-	for _, h := range b.table.ready {
-		h.others -= h.told[from]
-		h.told[from] = 0
+// What gateways tell each other: what they have out at hosts, and how hops ended. Few tell all others. Many tell
+// one for each zone, which collects and tells the sums to those that told it: messages then grow with the
+// transactions, not with the square of the gateways.
+
+// collector is the gateway to tell of a zone's hosts, -1 for all.
+func (b *Balancer) collector(g *group) int {
+	if b.place.Gateways <= fewGateways {
+		return -1
+	}
+	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
+}
+
+// unsaid has a host told of soon.
+func (b *Balancer) unsaid(h *host) {
+	if !b.from.Tells || b.place.Gateways < 2 || h.unsaid {
+		return
+	}
+	h.unsaid = true
+	if b.untold = append(b.untold, h); len(b.untold) == 1 {
+		b.at(b.now+tick, b.tell)
 	}
+}
+
+func (b *Balancer) tell() {
+	for _, g := range b.table.groups {
+		var held []Held
+		for _, h := range b.untold {
+			if h.group == g {
+				held = append(held, Held{h.ID, h.own, h.ends.good, h.ends.bad, h.ends.pace.value, false})
+				h.said, h.unsaid, h.ends = h.own, false, ends{}
+			}
+		}
+		if to := b.collector(g); to != b.place.Me && held != nil {
+			b.out.Tell(to, held)
+			if b.now-max(g.heard, g.awaited) > staleAge {
+				g.awaited = b.now
+			}
+		}
+	}
+	b.untold = b.untold[:0]
+}
+
+func (b *Balancer) Told(now time.Duration, from int, held []Held) {
+	b.now = now
 	for _, k := range held {
-		if h := b.table.byID[k.Host]; h != nil && h.State == Ready {
-			h.others += k.Hops - h.told[from]
-			h.told[from] = k.Hops
+		h := b.table.byID[k.Host]
+		if h == nil || h.group == nil {
+			continue
+		}
+		to := b.collector(h.group)
+		if to == from {
+			h.group.heard, k.Hops = now, max(0, k.Hops-h.said)
+			b.adopt(h, k)
+		} else if to >= 0 {
+			b.toldAt[from], h.group.fed = now, now
+			b.collect(h, k)
+		}
+		h.others += k.Hops - h.heldBy[from].hops
+		h.heldBy[from] = heldBy{k.Hops, now}
+	}
+}
+
+// collect counts how hops of another gateway ended as if they were own ones.
+func (b *Balancer) collect(h *host, k Held) {
+	b.flow.ends += k.Good + k.Bad
+	if k.Pace > 0 {
+		h.pace.add(k.Pace, paceStep)
+		h.paced = b.now
+	}
+	for i := range k.Good + k.Bad {
+		c := &h.whole
+		c.trying = c.trying || c.open && b.now >= c.until
+		b.judge(h, c, "all profiles", i >= k.Good, 1)
+	}
+	if !b.relaying {
+		b.relaying = true
+		b.at(b.now+tick, b.relay)
+	}
+}
+
+// adopt takes over what the collector knows of a host from the answers to all gateways.
+func (b *Balancer) adopt(h *host, k Held) {
+	if k.Pace > 0 {
+		h.pace.value, h.paced = k.Pace, b.now
+	}
+	if k.Open && !h.whole.open {
+		h.whole.bar(b.now, b.chance.draw())
+	} else if !k.Open && h.whole.open {
+		h.whole = breaker{share: h.whole.share / 2}
+	}
+}
+
+// relay tells the sums, as often as its price allows beside what the transactions earn.
+func (b *Balancer) relay() {
+	var sums []Held
+	for _, g := range b.table.groups {
+		if g.fed > 0 && b.now-g.fed < staleAge {
+			for _, h := range g.hosts {
+				sums = append(sums, Held{h.ID, h.own + h.others, 0, 0, h.pace.value, h.whole.open})
+			}
+		}
+	}
+	told := 0
+	for to, at := range b.toldAt {
+		if at > 0 && b.now-at < staleAge && len(sums) > 0 {
+			b.out.Tell(to, sums)
+			told++
 		}
 	}
+	b.flow.add(float64(b.flow.ends)/max(b.now-b.flow.since, tick).Seconds(), paceStep)
+	b.flow.ends, b.flow.since = 0, b.now
+	if b.relaying = told > 0; b.relaying {
+		cost := float64(told*len(sums)) * b.price.Told / (tellPart * max(b.flow.value, 1))
+		b.at(b.now+min(max(tick, time.Duration(cost*float64(time.Second))), staleAge/4), b.relay)
+	}
 }
 
 // Health: breakers, latency and weight of a host.
@@ -201,14 +318,24 @@
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
 		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+usual) {
-			k.open, k.trying = true, false
-			k.cool = min(max(2*k.cool, coolFirst), coolMost)
-			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
+			k.bar(now, chance)
 		}
 	}
 	return k.open != was
 }
 
+func (k *breaker) bar(now time.Duration, chance float64) {
+	k.open, k.trying = true, false
+	k.cool = min(max(2*k.cool, coolFirst), coolMost)
+	k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
+}
+
+func (b *Balancer) judge(h *host, c *breaker, of string, bad bool, errs float64) {
+	if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
+		b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of, c.open))
+	}
+}
+
 func (h *host) trialDue(profile int, now time.Duration) bool {
 	due := func(k *breaker) bool { return !k.open || now >= k.until && !k.trying }
 	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
@@ -233,6 +360,7 @@
 func (b *Balancer) learn(k *hop, profile int, r Result) {
 	h := k.host
 	h.own--
+	b.unsaid(h)
 	h.report(r.Load, b.now)
 	crowd, work, took := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
@@ -242,6 +370,7 @@
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
+		h.ends.pace.add(took/crowd/work.value, 0)
 	case TimedOut, CalledOff:
 		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang. So
 		// does one called off for its second copy, or a host that hangs would be cleared each time by that.
@@ -261,10 +390,15 @@
 	for i, c := range []*breaker{&h.whole, &h.by[profile]} {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
-			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
+		} else {
+			b.judge(h, c, of[i], bad, errs)
 		}
 	}
+	if bad {
+		h.ends.bad++
+	} else {
+		h.ends.good++
+	}
 }
 
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
@@ -328,7 +462,7 @@
 	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
 		for i, g := range b.table.groups {
-			h, e, busy := b.draw(g, t, barred, min(near, most))
+			h, e, busy := b.draw(g.hosts, t, barred, min(near, most))
 			if h == nil || i > 0 && e > most {
 				continue
 			}
@@ -361,7 +495,7 @@
 		x := b.expect(h, t.profile)
 		if !barred && !h.closed(t.profile) {
 			// A trial must not cost a transaction that cannot run twice, unless its own profile is on trial.
-			if h.trialDue(t.profile, b.now) && (t.prof.Effect != NonIdempotent || !h.whole.open) {
+			if h.trialDue(t.profile, b.now) && (t.prof.Effect != NonIdempotent || !h.whole.open) && b.rare() {
 				return h, x, 0
 			}
 			continue
@@ -478,7 +612,7 @@
 	}
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
 	// would be too many: to one of many gateways most hosts are idle in any jam.
-	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge) {
+	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
 		b.shed++
 		b.finish(t)
 		return
@@ -500,6 +634,7 @@
 	if h.own++; h.own == 1 {
 		h.waiting = b.now
 	}
+	b.unsaid(h)
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -17,10 +17,10 @@
 	s.end(2, 0, logic.Error, ms) // may have run
 	s.print()
 	// Output:
-	// 1000 tx 1 hop to 1 for 395
 	// 1000 tx 1 hop to 2 for 395
+	// 1000 tx 1 hop to 1 for 395
 	// 1000 tx 1 rolled back, come back after 100
-	// 1000 tx 2 hop to 1 for 395
+	// 1000 tx 2 hop to 2 for 395
 	// 1000 tx 2 abandoned
 }
 
@@ -38,12 +38,12 @@
 	s.end(3, 0, logic.Broken, ms) // may have run, and its window is as good as over
 	s.print()
 	// Output:
-	// 1000 tx 1 hop to 1 for 395
-	// 1000 tx 1 hop to 3 for 395
+	// 1000 tx 1 hop to 2 for 395
+	// 1000 tx 1 hop to 4 for 395
 	// 1000 tx 1 abandoned
-	// 1000 tx 2 hop to 2 for 395
-	// 1050 tx 2 hop to 1 for 345
-	// 1050 tx 3 hop to 2 for 395
+	// 1000 tx 2 hop to 1 for 395
+	// 1050 tx 2 hop to 2 for 345
+	// 1050 tx 3 hop to 1 for 395
 	// 1349 tx 3 abandoned
 }
 
@@ -86,10 +86,10 @@
 		fmt.Println("second", second, "hops:", s.hopsTo)
 	}
 	// Output:
-	// second 0 hops: map[1:27 2:23]
-	// second 1 hops: map[1:25 2:25]
-	// second 2 hops: map[1:20 2:30]
-	// second 3 hops: map[1:30 2:20]
+	// second 0 hops: map[1:26 2:24]
+	// second 1 hops: map[1:26 2:24]
+	// second 2 hops: map[1:23 2:27]
+	// second 3 hops: map[1:26 2:24]
 }
 
 // Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
@@ -111,9 +111,9 @@
 	s.end(99, 0, logic.Error, ms) // never taken
 	s.print()
 	// Output:
-	// 1000 tx 1 hop to 1 for 395
-	// 1000 tx 2 hop to 3 for 1000
-	// 1000 tx 3 hop to 2 for 1000
+	// 1000 tx 1 hop to 2 for 395
+	// 1000 tx 2 hop to 1 for 1000
+	// 1000 tx 3 hop to 3 for 1000
 	// 1395 tx 1 abandoned
 	// 1395 tx 4 rolled back, come back after 395
 }
@@ -129,15 +129,15 @@
 	s.wait(time.Minute)
 	s.print()
 	// Output:
-	// 1662 ask for the list
+	// 1866 ask for the list
 	// 5000 log: list lost, 1 times in a row
-	// 5866 ask for the list
+	// 5544 ask for the list
 	// 9000 log: list lost, 2 times in a row
-	// 10088 ask for the list
+	// 10624 ask for the list
 	// 13000 log: list lost, 3 times in a row
-	// 16249 ask for the list
+	// 16235 ask for the list
 	// 17000 log: list lost, 4 times in a row
-	// 20235 ask for the list
+	// 19236 ask for the list
 }
 
 // A host that errs on half of its orders but answers all reads is barred to orders; a trial lets it back.
@@ -163,8 +163,8 @@
 	s.print()
 	// Output:
 	// orders: map[2:10]
-	// reads: map[1:5 2:5]
-	// with ten more orders: map[1:11 2:9]
+	// reads: map[1:7 2:3]
+	// with ten more orders: map[1:14 2:6]
 	// 1060 tx 201 abandoned
 	// 1180 tx 205 abandoned
 	// 1300 log: host 1, order: breaker open true
@@ -184,9 +184,9 @@
 	s.print()
 	fmt.Println(s.hopsTo)
 	// Output:
-	// 1000 log: host 1, all profiles: breaker open true
-	// 1000 log: host 1, payment: breaker open true
-	// map[1:14 2:186]
+	// 1000 log: host 2, all profiles: breaker open true
+	// 1000 log: host 2, payment: breaker open true
+	// map[1:187 2:13]
 }
 
 // A host that hangs is passed over before its hops time out, and what waits there gets a second copy.
@@ -203,7 +203,7 @@
 	fmt.Println("after that:", s.hopsTo)
 	s.print()
 	// Output:
-	// after that: map[1:4 2:6]
+	// after that: map[1:7 2:3]
 	// 2200 tx 50 hop to 1 for 1000
 	// 2320 tx 50 hop to 2 for 880
 	// 2610 tx 50 call off hop 0
@@ -316,9 +316,9 @@
 	// Output:
 	// 2.2s map[1:20]
 	// 8.86s map[1:120 2:2]
-	// 14.86s map[1:173 2:49]
-	// 20.86s map[1:226 2:96]
-	// 26.86s map[1:277 2:145]
+	// 14.86s map[1:183 2:39]
+	// 20.86s map[1:228 2:94]
+	// 26.86s map[1:275 2:147]
 }
 
 // A profile that is turned away as full while others are answered is kept off that host.
@@ -352,11 +352,12 @@
 	}
 	s.print()
 	// Output:
-	// 8000 log: last second: 2 rolled back on arrival, 0 hops into other zones
-	// 9000 log: last second: 3 rolled back on arrival, 0 hops into other zones
-	// 10000 log: last second: 1 rolled back on arrival, 0 hops into other zones
-	// 11000 log: last second: 3 rolled back on arrival, 0 hops into other zones
-	// 12000 log: last second: 3 rolled back on arrival, 0 hops into other zones
+	// 7662 log: last second: 1 rolled back on arrival, 0 hops into other zones
+	// 8662 log: last second: 3 rolled back on arrival, 0 hops into other zones
+	// 9662 log: last second: 2 rolled back on arrival, 0 hops into other zones
+	// 10662 log: last second: 2 rolled back on arrival, 0 hops into other zones
+	// 11662 log: last second: 3 rolled back on arrival, 0 hops into other zones
+	// 12662 log: last second: 2 rolled back on arrival, 0 hops into other zones
 }
 
 // The same calls give the same decisions.
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,17 +21,20 @@
 	txs      map[TxID]*tx
 
 	now    time.Duration
-	ticks  int
 	due    dueTimes
 	chance chance
 
-	work    []average       // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
-	free    []float64       // by profile: the least that has been of late, as when hosts are free
-	errs    average         // share of errors at all hosts
-	revenue average         // of the transactions taken
-	told    []time.Duration // by gateway: when it last told, or was last given up
-	shed    int             // rolled back on arrival since the last slow tick
-	spilt   int             // hops into other zones since then
+	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	free    []float64 // by profile: the least that has been of late, as when hosts are free
+	errs    average   // share of errors at all hosts
+	revenue average   // of the transactions taken
+	shed    int       // rolled back on arrival within the last second
+	spilt   int       // hops into other zones since then
+
+	untold   []*host         // hosts to tell of soon
+	toldAt   []time.Duration // by gateway: when it last told this one, as one that collects
+	relaying bool            // sums are due to be told
+	flow     flow            // of what other gateways tell
 }
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
@@ -40,12 +43,15 @@
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
-		told:  make([]time.Duration, place.Gateways),
-		errs:  average{n: 1 / workStep}, // none at first
-		admit: admission{part: admitMost, crowd: crowdUntold},
-		table: table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
+		toldAt: make([]time.Duration, place.Gateways),
+		errs:   average{n: 1 / workStep}, // none at first
+		admit:  admission{part: admitMost, crowd: crowdUntold},
+		table:  table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
-	b.table.zones = append(slices.Clone(place.Zones[own:]), place.Zones[:own]...)
+	for i := range place.Zones {
+		at := (own + i) % len(place.Zones)
+		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at})
+	}
 	for _, t := range tenants {
 		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
 	}
@@ -59,9 +65,9 @@
 		b.work[i].value = firstGuess * float64(p.Goal)
 		b.free[i] = b.work[i].value
 	}
-	b.at(now+tick, b.periodic)
+	b.at(now+time.Duration(b.chance.draw()*float64(second)), b.periodic)
 	if from.AskWithin > 0 {
-		b.at(now+time.Duration(b.chance.draw()*float64(min(askAgain, from.AskWithin))), out.AskList)
+		b.at(now+b.spread(askAgain), out.AskList)
 	}
 	return b
 }
@@ -128,22 +134,53 @@
 	byID     map[HostID]*host
 	places   map[string]*average // by kind: hops in work at a full host, where reports show it
 	ready    []*host             // by id
-	groups   [][]*host           // ready hosts by zone, as in zones
-	zones    []string            // the own one first
+	groups   []*group            // the own one first
 	cold     ColdRule
 	gateways int
 	lost     int // calls for the list lost in a row
 }
 
+// group is the hosts of one zone.
+type group struct {
+	zone    string
+	index   int // among the zones
+	hosts   []*host
+	skip    int           // collectors given up as silent
+	heard   time.Duration // when the collector last told
+	awaited time.Duration // since when it is waited for
+	fed     time.Duration // when another gateway last told this one of its hosts
+}
+
+type heldBy struct {
+	hops int
+	at   time.Duration
+}
+
+type ends struct {
+	good, bad int
+	pace      average
+}
+
+// flow is how many hops a second other gateways tell of as ended.
+type flow struct {
+	average
+	ends  int
+	since time.Duration
+}
+
 func (t *table) isCold(h *host, now time.Duration) bool {
 	return h.Started > 0 && now-h.Started < t.cold.WarmUp
 }
 
 type host struct {
 	Host
-	own    int   // hops of this gateway out
-	others int   // hops of the other gateways out, as told
-	told   []int // the same by gateway
+	own    int // hops of this gateway out
+	group  *group
+	others int            // hops of the other gateways out, as told
+	heldBy map[int]heldBy // the same by the gateway that told
+	said   int            // own hops out as last told
+	unsaid bool           // to be told of soon
+	ends   ends           // of own hops, not yet told
 	health
 	sent []time.Duration // hops within the last TipAfter, nil unless it started cold
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -40,18 +40,22 @@
 	// Abandon answers finally and promises nothing.
 	Abandon(id TxID)
 	Probe(host HostID)
-	// Tell tells all other gateways what this one has out.
-	Tell(held []Held)
+	// Tell tells another gateway, or all with -1, what is out at hosts.
+	Tell(to int, held []Held)
 	// AskList asks for the list and for its changes from then on.
 	AskList()
 	SetTimer(in time.Duration)
 	Log(line string)
 }
 
-// Held is how many hops a gateway has out at a host.
+// Held is what one gateway tells of a host: the hops out there; with them how hops ended since it last told, or,
+// from one that collects, the hops of all and what it holds of the host.
 type Held struct {
-	Host HostID
-	Hops int
+	Host      HostID
+	Hops      int
+	Good, Bad int
+	Pace      float64 // the mean of its answers' time against the usual, 0 for unknown
+	Open      bool    // its breaker
 }
 
 type ListKind int
@@ -153,6 +157,7 @@
 // Place is where the gateway stands among the gateways and zones.
 type Place struct {
 	Gateways int
+	Me       int // its number among them
 	Zone     string
 	Zones    []string
 }
@@ -183,6 +188,7 @@
 // Price says what costs revenue beside the transaction's own.
 type Price struct {
 	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
+	Told     float64 // telling one gateway of one host, ditto
 	ByWork   bool    // revenue is counted for each unit of work
 	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
 }
