--- a/logic/logic.go
+++ b/logic/logic.go
@@ -158,8 +158,8 @@
 // spread is a time by chance for a call of the list. All gateways in step would be late together, and the more
 // there are, the longer one source takes to answer them.
 func (b *Balancer) spread(usual time.Duration) time.Duration {
-	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin)
-	return time.Duration((0.5 + b.chance.draw()/2) * float64(all))
+	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
+	return time.Duration(b.chance.draw() * float64(all))
 }
 
 // coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget. It is
@@ -394,10 +394,10 @@
 			b.judge(h, c, of[i], bad, errs)
 		}
 	}
-	if bad {
-		h.ends.bad++
-	} else {
+	if r.End == Committed {
 		h.ends.good++
+	} else if errs > 0 {
+		h.ends.bad++
 	}
 }
 
@@ -488,6 +488,7 @@
 	var second, best *host
 	var mean, busy average
 	var e2, least, first, next float64
+	few := b.place.Gateways <= fewGateways
 	for _, h := range g {
 		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) || !barred && h.silent(b.now) {
 			continue
@@ -510,14 +511,16 @@
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
 		}
-		if best == nil || x < least {
+		if few && (best == nil || x < least) {
 			best, least = h, x
 		}
 	}
 	if e > slowFactor*mean.value && e2 < e {
 		pick, e = second, e2
 	}
-	if e > near {
+	if !few && second != nil && e2 < e { // all of many taking the best at once would bury it
+		pick, e = second, e2
+	} else if few && e > near {
 		pick, e = best, least
 	}
 	return pick, e, busy.value
