--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -37,15 +37,17 @@
 		"ingress gateway/0 9 0 - - 900000 - pay", "end", "round 2010000", "end")
 	// Output:
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// done
 	// dispatch gateway/0 7 17 395000
 	// refuse gateway/0 7 100000
 	// dispatch gateway/0 8 17 395000
 	// drop_request gateway/0 8
-	// set_alarm gateway/0 1 1
 	// track gateway/0 1
+	// set_alarm gateway/0 1 25000
 	// done
 	// set_alarm gateway/0 1 662244
+	// set_alarm gateway/0 1 286009
 	// refuse gateway/0 9 100000
 	// done
 	// done
@@ -79,16 +81,22 @@
 	// error: line 2: settings: json: cannot unmarshal string into Go struct field opening.balancers of type int
 	// error: line 2: settings: profile x: unknown effect "twice"
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 3: ingress: too few values
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 3: response: unknown outcome "lost"
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 3: response: "rif:many" is not a load report
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 4: peers_known: entry "m 17 a box 0 7 1 -": unknown state 7
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 3: whisper: message: encoding/hex: invalid byte: U+007A 'z'
 	// set_alarm gateway/0 1 395063
+	// set_alarm gateway/0 1 332176
 	// error: line 3: whisper: no gateway 2
 	// error: line 2: the input ends within a batch
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -128,11 +128,11 @@
 	}
 	for _, entry := range hosts {
 		h := cmp.Or(t.byID[entry.ID], &host{heldBy: map[int]heldBy{}})
-		t.byID[entry.ID], t.places[entry.Kind] = h, cmp.Or(t.places[entry.Kind], &average{})
+		t.byID[entry.ID], t.models[entry.Kind] = h, cmp.Or(t.models[entry.Kind], &model{})
 		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
 			// A host that has started again is cold and without a record; what is out to it still counts.
 			h.health, h.sent = health{weight: 1, pace: average{1, priorPaces},
-				by: make([]breaker, len(b.profiles)), places: t.places[entry.Kind]}, nil
+				by: make([]breaker, len(b.profiles)), model: t.models[entry.Kind]}, nil
 		}
 		if h.Host = entry; h.sent == nil && t.isCold(h, now) {
 			h.sent = []time.Duration{}
@@ -163,23 +163,19 @@
 }
 
 // coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget. It is
-// judged from what warm hosts like it get through.
-func (t *table) coldRoom(h *host, now time.Duration) bool {
-	if !t.isCold(h, now) {
+// judged from what warm hosts like it get through. A share of less than a hop is kept by chance: the host is let
+// into a draw as often as it is warm, so that all together send it that part of what a warm one gets.
+func (b *Balancer) coldRoom(h *host) bool {
+	c := &b.table.cold
+	if !b.table.isCold(h, b.now) {
 		return true
 	}
-	for len(h.sent) > 0 && now-h.sent[0] >= t.cold.TipAfter {
+	for len(h.sent) > 0 && b.now-h.sent[0] >= c.TipAfter {
 		h.sent = h.sent[1:]
 	}
-	var through average // hops a nanosecond, as if one more were out
-	for _, o := range t.ready {
-		if o.Kind == h.Kind && o.lat.n > 0 && !t.isCold(o, now) {
-			through.add(float64(o.own+o.others+1)/o.lat.value, 0)
-		}
-	}
-	share := t.cold.From + (1-t.cold.From)*float64(now-h.Started)/float64(t.cold.WarmUp)
-	budget := share * t.cold.Multiple * through.value * float64(t.cold.TipAfter) / float64(t.gateways)
-	return float64(len(h.sent)) < max(1, math.Floor(coldPart*budget))
+	warm := c.From + (1-c.From)*float64(b.now-h.Started)/float64(c.WarmUp)
+	share := coldPart * warm * c.Multiple * h.model.through.value * c.TipAfter.Seconds() / float64(b.place.Gateways)
+	return len(h.sent) < max(1, int(share)) && (share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
 // What gateways tell each other: what they have out at hosts, and how hops ended. Few tell all others. Many tell
@@ -351,8 +347,8 @@
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
-	if l.Held > 0 && (l.Waiting > 0 || l.Waiting == 0 && l.Held > h.places.value) {
-		h.places.add(max(1, l.Held-l.Waiting), paceStep)
+	if l.Held > 0 && (l.Waiting > 0 || l.Waiting == 0 && l.Held > h.model.places.value) {
+		h.model.places.add(max(1, l.Held-l.Waiting), paceStep)
 	}
 }
 
@@ -405,8 +401,14 @@
 // as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
 	mean := average{1, 0}
+	for _, h := range b.table.ready {
+		h.model.through.n = min(h.model.through.n, 0)
+	}
 	for _, h := range b.table.ready {
 		mean.add(h.pace.value, 0)
+		if h.lat.n > 0 && !b.table.isCold(h, b.now) { // as if one more were out
+			h.model.through.add(float64(h.own+h.others+1)*float64(second)/h.lat.value, 0)
+		}
 	}
 	for i := range b.work {
 		b.work[i].value *= mean.value
@@ -490,7 +492,7 @@
 	var e2, least, first, next float64
 	few := b.place.Gateways <= fewGateways
 	for _, h := range g {
-		if !t.fits(h, b.now) || !b.table.coldRoom(h, b.now) || !barred && h.silent(b.now) {
+		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && h.silent(b.now) {
 			continue
 		}
 		x := b.expect(h, t.profile)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -86,10 +86,10 @@
 		fmt.Println("second", second, "hops:", s.hopsTo)
 	}
 	// Output:
-	// second 0 hops: map[1:26 2:24]
+	// second 0 hops: map[1:39 2:11]
 	// second 1 hops: map[1:26 2:24]
-	// second 2 hops: map[1:23 2:27]
-	// second 3 hops: map[1:26 2:24]
+	// second 2 hops: map[1:29 2:21]
+	// second 3 hops: map[1:23 2:27]
 }
 
 // Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
@@ -129,15 +129,15 @@
 	s.wait(time.Minute)
 	s.print()
 	// Output:
-	// 1866 ask for the list
+	// 1733 ask for the list
 	// 5000 log: list lost, 1 times in a row
-	// 5544 ask for the list
+	// 5088 ask for the list
 	// 9000 log: list lost, 2 times in a row
-	// 10624 ask for the list
+	// 10249 ask for the list
 	// 13000 log: list lost, 3 times in a row
-	// 16235 ask for the list
+	// 15470 ask for the list
 	// 17000 log: list lost, 4 times in a row
-	// 19236 ask for the list
+	// 17473 ask for the list
 }
 
 // A host that errs on half of its orders but answers all reads is barred to orders; a trial lets it back.
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,7 @@
 		toldAt: make([]time.Duration, place.Gateways),
 		errs:   average{n: 1 / workStep}, // none at first
 		admit:  admission{part: admitMost, crowd: crowdUntold},
-		table:  table{byID: map[HostID]*host{}, places: map[string]*average{}, cold: cold, gateways: place.Gateways}}
+		table:  table{byID: map[HostID]*host{}, models: map[string]*model{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
 	for i := range place.Zones {
 		at := (own + i) % len(place.Zones)
@@ -132,14 +132,20 @@
 
 type table struct {
 	byID     map[HostID]*host
-	places   map[string]*average // by kind: hops in work at a full host, where reports show it
-	ready    []*host             // by id
-	groups   []*group            // the own one first
+	models   map[string]*model
+	ready    []*host  // by id
+	groups   []*group // the own one first
 	cold     ColdRule
 	gateways int
 	lost     int // calls for the list lost in a row
 }
 
+// model is what like hosts show.
+type model struct {
+	places  average // hops in work at a full host, where reports show it
+	through average // hops a second that a warm host gets through
+}
+
 // group is the hosts of one zone.
 type group struct {
 	zone    string
@@ -187,11 +193,11 @@
 
 type health struct {
 	weight  float64
-	bad     bool          // a failure, full answer or time-out since the last slow tick
-	pace    average       // times the usual time of a profile, with a core free
-	lat     average       // time of an answer, waits included
-	busy    float64       // reported utilisation
-	places  *average      // hops in work at a full host of the kind, where reports show it
+	bad     bool    // a failure, full answer or time-out since the last slow tick
+	pace    average // times the usual time of a profile, with a core free
+	lat     average // time of an answer, waits included
+	busy    float64 // reported utilisation
+	model   *model
 	busyAt  time.Duration // when that came, 0 for never
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, if any are
@@ -202,7 +208,7 @@
 func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
 
 // slots is how many hops a host works on at once: one, unless reports of its kind show more.
-func (h *host) slots() float64 { return max(1, h.places.value) }
+func (h *host) slots() float64 { return max(1, h.model.places.value) }
 
 // crowd is how many hops a slot a host would hold with one more.
 func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
