--- a/internal/simwire/sender.go
+++ b/internal/simwire/sender.go
@@ -87,10 +87,12 @@
 // The module keeps one timer, so one handle does.
 const timerHandle = 1
 
+// SetTimer rounds up: the module waits for a timer that it has set, and one that falls due before its time would
+// be its last.
 func (s *sender) SetTimer(in time.Duration) {
 	s.begin("set_alarm")
 	s.int(timerHandle)
-	s.int(max(in.Microseconds(), 1))
+	s.int((in + time.Microsecond - 1).Microseconds())
 	s.end()
 }
 
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -36,8 +36,8 @@
 		"round 2005000", "retire gateway/0", "open_instance gateway/0 6 SETTINGS", "peers_known gateway/0 0 1 0",
 		"ingress gateway/0 9 0 - - 900000 - pay", "end", "round 2010000", "end")
 	// Output:
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// done
 	// dispatch gateway/0 7 17 395000
 	// refuse gateway/0 7 100000
@@ -46,8 +46,8 @@
 	// track gateway/0 1
 	// set_alarm gateway/0 1 25000
 	// done
-	// set_alarm gateway/0 1 662244
-	// set_alarm gateway/0 1 286009
+	// set_alarm gateway/0 1 662245
+	// set_alarm gateway/0 1 286010
 	// refuse gateway/0 9 100000
 	// done
 	// done
@@ -80,23 +80,23 @@
 	// error: line 2: timeout_fired for "gateway/0", which has not started
 	// error: line 2: settings: json: cannot unmarshal string into Go struct field opening.balancers of type int
 	// error: line 2: settings: profile x: unknown effect "twice"
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 3: ingress: too few values
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 3: response: unknown outcome "lost"
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 3: response: "rif:many" is not a load report
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 4: peers_known: entry "m 17 a box 0 7 1 -": unknown state 7
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 3: whisper: message: encoding/hex: invalid byte: U+007A 'z'
-	// set_alarm gateway/0 1 395063
-	// set_alarm gateway/0 1 332176
+	// set_alarm gateway/0 1 395064
+	// set_alarm gateway/0 1 332177
 	// error: line 3: whisper: no gateway 2
 	// error: line 2: the input ends within a batch
 }
