--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -44,7 +44,7 @@
 	// dispatch gateway/0 8 17 395000
 	// drop_request gateway/0 8
 	// track gateway/0 1
-	// set_alarm gateway/0 1 25000
+	// set_alarm gateway/0 1 10000
 	// done
 	// set_alarm gateway/0 1 662245
 	// set_alarm gateway/0 1 286010
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,48 +14,49 @@
 )
 
 const (
-	tick        = 25 * time.Millisecond // changes wait so long to be told together: far less than a hop's time
-	second      = time.Second           // between weight changes, as the decision record has it
-	fewGateways = 8                     // that may each tell, probe and try for themselves at a bearable price
-	tellPart    = 0.01                  // of the revenue that telling sums may cost: little, knowing much
-	askEach     = 25 * time.Millisecond // of a list source's time for each gateway: some dozen calls a second
-	askAgain    = time.Second           // first delay after a lost list, doubled twice; lists are seconds late
-	rowToOpen   = 5                     // failures in a row that open a breaker, the paper's figure
-	shareToOpen = 0.25                  // share of errors over that at all hosts: two or three close together
-	shareStep   = 0.15                  // smoothing of that share: about the last seven outcomes
-	coolFirst   = 2 * time.Second       // first cooldown: one trial costs little, a barred host much
-	coolMost    = 5 * time.Second       // longest cooldown, the decision record's figure
-	cutFactor   = 0.7                   // weight after a bad second, the decision record's figure
-	slowFactor  = 1.5                   // latency over the median that cuts it, ditto; well over the mean
-	raisePart   = 0.1                   // part of the mean weight gained in a good second, ditto
-	weightLeast = 0.1                   // of the mean weight, ditto
-	weightMost  = 2.0                   // of the mean weight, ditto
-	paceStep    = 0.1                   // smoothing of a host's pace and a tenant's rate: their last ten
-	forget      = 0.2                   // of a pace over the usual, a second: gone in some ten
-	workStep    = 0.02                  // smoothing of a profile's time: the last fifty answers
-	firstGuess  = 0.25                  // of the service goal: time of a profile never seen
-	staleAge    = 2 * time.Second       // after which reports, tells and a host's pace say little of now
-	priorPaces  = 3.0                   // answers for which the usual pace counts at a new host
-	copyAfter   = 2.0                   // expected times after which a second copy is sent
-	freeRise    = 0.005                 // a second: how fast the least time of a profile is forgotten, minutes
-	overdue     = 2.0                   // expected times after which a time-out counts for the breaker
-	silentRuns  = 3.0                   // latencies, over hops out, without an answer that make a host silent
-	fullFrom    = 0.25                  // of the goal: expected time from which a group is near full
-	fullMost    = 0.9                   // of the goal: the same at most, as twice a crossing's price is added
-	crowdFree   = 2.0                   // hops a slot, the new one too, up to which a host is never near full
-	busyFull    = 0.85                  // reported utilisation of a full group, the paper's figure
-	admitMost   = 0.9                   // of the goal: expected time over which a transaction is rolled back
-	admitTail   = 0.7                   // the same where a missed goal costs more than its own revenue
-	yieldFrom   = 2.5                   // times the revenue for the same work to which a profile yields
-	yieldPart   = 0.8                   // of the expected time at which that one would be rolled back
-	crowdMost   = 2.2                   // hops a slot over which a host gets no more done and only slows down
-	crowdUntold = 3.0                   // the same where only the own ones are known, and the time is the least
-	busyCalm    = 0.6                   // reported utilisation well under that, where a host has room for anyone
-	overCrowd   = 1.0                   // the same for a tenant over its share: a free slot at a usual host
-	greedyFrom  = 1.5                   // of its portion that makes a tenant greedy: more than chance does
-	overSlack   = 1.2                   // of its portion that it has all the same, as the portion is a guess
-	goalSlack   = 5 * time.Millisecond  // by which an answer must come before the goal to reach its client
-	coldPart    = 0.8                   // of this gateway's share of a cold host's budget that it spends
+	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
+	second      = time.Second            // between weight changes, as the decision record has it
+	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
+	tellPart    = 0.01                   // of the revenue that telling sums may cost: little, knowing much
+	hintAge     = 100 * time.Millisecond // after which a host drawn by another gateway is no longer the best
+	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
+	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
+	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
+	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
+	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
+	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
+	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
+	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
+	slowFactor  = 1.5                    // latency over the median that cuts it, ditto; well over the mean
+	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
+	weightLeast = 0.1                    // of the mean weight, ditto
+	weightMost  = 2.0                    // of the mean weight, ditto
+	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
+	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
+	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
+	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
+	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
+	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
+	copyAfter   = 2.0                    // expected times after which a second copy is sent
+	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
+	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
+	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
+	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
+	fullMost    = 0.9                    // of the goal: the same at most, as twice a crossing's price is added
+	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
+	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
+	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
+	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
+	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
+	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
+	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
+	busyCalm    = 0.6                    // reported utilisation well under that, where a host has room for anyone
+	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
+	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
+	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
+	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
+	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
 // at has something done at its time; the one timer is set for the first of these.
@@ -229,10 +230,10 @@
 		}
 		to := b.collector(h.group)
 		if to == from {
-			h.group.heard, k.Hops = now, max(0, k.Hops-h.said)
+			h.group.heard, h.group.hint, k.Hops = now, h, max(0, k.Hops-h.said)
 			b.adopt(h, k)
 		} else if to >= 0 {
-			b.toldAt[from], h.group.fed = now, now
+			h.group.toldAt[from] = now
 			b.collect(h, k)
 		}
 		h.others += k.Hops - h.heldBy[from].hops
@@ -270,31 +271,49 @@
 	}
 }
 
-// relay tells the sums, as often as its price allows beside what the transactions earn.
+// relay draws a host for each gateway that uses a zone and tells it that one: the host that promises most, with
+// what those drawn before will bring it. It does so as often as the price allows beside what transactions earn.
 func (b *Balancer) relay() {
-	var sums []Held
+	told := 0
 	for _, g := range b.table.groups {
-		if g.fed > 0 && b.now-g.fed < staleAge {
-			for _, h := range g.hosts {
-				sums = append(sums, Held{h.ID, h.own + h.others, 0, 0, h.pace.value, h.whole.open})
+		var to []int
+		for from, at := range g.toldAt {
+			if at > 0 && b.now-at < staleAge {
+				to = append(to, from)
 			}
 		}
-	}
-	told := 0
-	for to, at := range b.toldAt {
-		if at > 0 && b.now-at < staleAge && len(sums) > 0 {
-			b.out.Tell(to, sums)
-			told++
+		for _, h := range g.hosts {
+			h.promised /= 2 // by now half of it is told as out
+		}
+		each := b.flow.value * (b.now - b.flow.since).Seconds() / float64(max(1, len(to)))
+		for _, from := range to {
+			if h := b.least(g); h != nil {
+				b.out.Tell(from, []Held{{h.ID, h.own + h.others + int(h.promised), 0, 0, h.pace.value, h.whole.open}})
+				h.promised += each
+				told++
+			}
 		}
 	}
 	b.flow.add(float64(b.flow.ends)/max(b.now-b.flow.since, tick).Seconds(), paceStep)
 	b.flow.ends, b.flow.since = 0, b.now
 	if b.relaying = told > 0; b.relaying {
-		cost := float64(told*len(sums)) * b.price.Told / (tellPart * max(b.flow.value, 1))
+		cost := float64(told) * b.price.Told / (tellPart * max(b.flow.value, 1))
 		b.at(b.now+min(max(tick, time.Duration(cost*float64(time.Second))), staleAge/4), b.relay)
 	}
 }
 
+// least is the host of a group that promises most.
+func (b *Balancer) least(g *group) (best *host) {
+	least := math.Inf(1)
+	for _, h := range g.hosts {
+		x := h.pace.value * (float64(h.own+h.others+1) + h.promised) / h.slots()
+		if x < least && (!h.whole.open || b.now >= h.whole.until && !h.whole.trying) && b.coldRoom(h) {
+			best, least = h, x
+		}
+	}
+	return best
+}
+
 // Health: breakers, latency and weight of a host.
 
 // note takes an outcome and tells whether the breaker changed. Only a trial's answer closes it, as late
@@ -362,7 +381,7 @@
 	bad, errs := false, 0.0
 	switch r.End {
 	case Committed:
-		h.paced, h.waiting = b.now, b.now
+		h.paced, h.waiting, h.fresh, work.at = b.now, b.now, true, b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.pace.add(took/crowd/work.value, paceStep)
@@ -400,6 +419,7 @@
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
 // as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
+	shared := b.from.Tells && b.place.Gateways > fewGateways // paces come from who collects
 	mean := average{1, 0}
 	for _, h := range b.table.ready {
 		h.model.through.n = min(h.model.through.n, 0)
@@ -411,15 +431,21 @@
 		}
 	}
 	for i := range b.work {
-		b.work[i].value *= mean.value
+		w, guess := &b.work[i], firstGuess*float64(b.profiles[i].Goal)
+		if !shared {
+			w.value *= mean.value
+		}
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || b.work[i].value < b.free[i] {
-			b.free[i] = b.work[i].value
-		} else if b.work[i].n*workStep < 1 { // a day may begin in a jam
-			b.free[i] = min(b.work[i].value, firstGuess*float64(b.profiles[i].Goal))
+		if b.from.Tells || w.value < b.free[i] {
+			b.free[i] = w.value
+		} else if w.n*workStep < 1 { // a day may begin in a jam
+			b.free[i] = min(w.value, guess)
 		}
 	}
 	for _, h := range b.table.ready {
+		if shared && b.collector(h.group) != b.place.Me {
+			continue
+		}
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
 			h.pace.value += forget * (1 - h.pace.value)
 		}
@@ -437,10 +463,10 @@
 	slices.Sort(lats)
 	sum := 0.0
 	for _, h := range g {
-		if h.weight += raisePart; h.bad || len(lats) > 0 && h.lat.value > slowFactor*lats[len(lats)/2] {
+		if h.weight += raisePart; h.bad || h.fresh && h.lat.value > slowFactor*lats[len(lats)/2] {
 			h.weight = cutFactor * (h.weight - raisePart)
 		}
-		h.bad = false
+		h.bad, h.fresh = false, false
 		sum += h.weight
 	}
 	for _, h := range g {
@@ -464,7 +490,7 @@
 	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
 		for i, g := range b.table.groups {
-			h, e, busy := b.draw(g.hosts, t, barred, min(near, most))
+			h, e, busy := b.draw(g, t, barred, min(near, most))
 			if h == nil || i > 0 && e > most {
 				continue
 			}
@@ -486,12 +512,18 @@
 
 // draw picks from a group by weight, once more where that is well over the mean; if that is over near all the
 // same, the host that promises most. With it comes the group's reported utilisation.
-func (b *Balancer) draw(g []*host, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
+func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
 	var second, best *host
 	var mean, busy average
 	var e2, least, first, next float64
 	few := b.place.Gateways <= fewGateways
-	for _, h := range g {
+	if b.collector(g) == b.place.Me {
+		g.hint, g.heard = b.least(g), b.now
+	}
+	if h := g.hint; h != nil && b.now-g.heard < hintAge && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h) {
+		return h, b.expect(h, t.profile), 0
+	}
+	for _, h := range g.hosts {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && h.silent(b.now) {
 			continue
 		}
@@ -640,6 +672,7 @@
 		h.waiting = b.now
 	}
 	b.unsaid(h)
+	h.group.hint = nil // one hop each
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -24,17 +24,16 @@
 	due    dueTimes
 	chance chance
 
-	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	work    []heard   // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
 	free    []float64 // by profile: the least that has been of late, as when hosts are free
 	errs    average   // share of errors at all hosts
 	revenue average   // of the transactions taken
 	shed    int       // rolled back on arrival within the last second
 	spilt   int       // hops into other zones since then
 
-	untold   []*host         // hosts to tell of soon
-	toldAt   []time.Duration // by gateway: when it last told this one, as one that collects
-	relaying bool            // sums are due to be told
-	flow     flow            // of what other gateways tell
+	untold   []*host // hosts to tell of soon
+	relaying bool    // sums are due to be told
+	flow     flow    // of what other gateways tell
 }
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
@@ -42,15 +41,14 @@
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
-		toldAt: make([]time.Duration, place.Gateways),
-		errs:   average{n: 1 / workStep}, // none at first
-		admit:  admission{part: admitMost, crowd: crowdUntold},
-		table:  table{byID: map[HostID]*host{}, models: map[string]*model{}, cold: cold, gateways: place.Gateways}}
+		work: make([]heard, len(profiles)), free: make([]float64, len(profiles)),
+		errs:  average{n: 1 / workStep}, // none at first
+		admit: admission{part: admitMost, crowd: crowdUntold},
+		table: table{byID: map[HostID]*host{}, models: map[string]*model{}, cold: cold, gateways: place.Gateways}}
 	own := max(0, slices.Index(place.Zones, place.Zone))
 	for i := range place.Zones {
 		at := (own + i) % len(place.Zones)
-		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at})
+		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at, toldAt: make([]time.Duration, place.Gateways)})
 	}
 	for _, t := range tenants {
 		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
@@ -151,10 +149,17 @@
 	zone    string
 	index   int // among the zones
 	hosts   []*host
-	skip    int           // collectors given up as silent
-	heard   time.Duration // when the collector last told
-	awaited time.Duration // since when it is waited for
-	fed     time.Duration // when another gateway last told this one of its hosts
+	skip    int             // collectors given up as silent
+	heard   time.Duration   // when the collector last told
+	awaited time.Duration   // since when it is waited for
+	toldAt  []time.Duration // by gateway: when it last told this one of the hosts here
+	hint    *host           // drawn for this gateway by the one that collects
+}
+
+// heard is an average with the time of its last sample.
+type heard struct {
+	average
+	at time.Duration
 }
 
 type heldBy struct {
@@ -180,19 +185,21 @@
 
 type host struct {
 	Host
-	own    int // hops of this gateway out
-	group  *group
-	others int            // hops of the other gateways out, as told
-	heldBy map[int]heldBy // the same by the gateway that told
-	said   int            // own hops out as last told
-	unsaid bool           // to be told of soon
-	ends   ends           // of own hops, not yet told
+	own      int // hops of this gateway out
+	group    *group
+	others   int            // hops of the other gateways out, as told
+	heldBy   map[int]heldBy // the same by the gateway that told
+	promised float64        // hops that other gateways are about to send, as drawn for them
+	said     int            // own hops out as last told
+	unsaid   bool           // to be told of soon
+	ends     ends           // of own hops, not yet told
 	health
 	sent []time.Duration // hops within the last TipAfter, nil unless it started cold
 }
 
 type health struct {
 	weight  float64
+	fresh   bool    // an answer since the last second
 	bad     bool    // a failure, full answer or time-out since the last slow tick
 	pace    average // times the usual time of a profile, with a core free
 	lat     average // time of an answer, waits included
