--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,6 +31,7 @@
 	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
 	weightLeast = 0.1                    // of the mean weight, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
+	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
 	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
@@ -83,9 +84,10 @@
 				delete(h.heldBy, from)
 			}
 		}
-		if h.own > 0 {
+		if h.own > 0 || h.again { // said once more, as messages may be lost
 			b.unsaid(h)
 		}
+		h.again = false
 		if b.from.Probes && !b.table.isCold(h, b.now) && b.rare() {
 			b.out.Probe(h.ID)
 		}
@@ -208,6 +210,7 @@
 		for _, h := range b.untold {
 			if h.group == g {
 				held = append(held, Held{h.ID, h.own, h.ends.good, h.ends.bad, h.ends.pace.value, false})
+				h.again = h.again || h.said != h.own
 				h.said, h.unsaid, h.ends = h.own, false, ends{}
 			}
 		}
@@ -245,7 +248,7 @@
 func (b *Balancer) collect(h *host, k Held) {
 	b.flow.ends += k.Good + k.Bad
 	if k.Pace > 0 {
-		h.pace.add(k.Pace, paceStep)
+		h.learnPace(k.Pace)
 		h.paced = b.now
 	}
 	for i := range k.Good + k.Bad {
@@ -384,7 +387,7 @@
 		h.paced, h.waiting, h.fresh, work.at = b.now, b.now, true, b.now
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
-		h.pace.add(took/crowd/work.value, paceStep)
+		h.learnPace(took / crowd / work.value)
 		h.ends.pace.add(took/crowd/work.value, 0)
 	case TimedOut, CalledOff:
 		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang. So
@@ -392,7 +395,7 @@
 		bad = took > overdue*work.value*crowd
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
-		h.pace.add(max(took/crowd/work.value, h.pace.value), paceStep)
+		h.learnPace(max(took/crowd/work.value, h.pace.value))
 	case Error, Broken, NoConnection, Full:
 		h.waiting, h.bad, bad, errs = b.now, true, true, 1
 	}
@@ -416,6 +419,13 @@
 	}
 }
 
+// learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast, which brings
+// it the next burst.
+func (h *host) learnPace(p float64) {
+	h.pace.add(p, paceStep)
+	h.pace.value = max(h.pace.value, paceLeast)
+}
+
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
 // as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -191,6 +191,7 @@
 	heldBy   map[int]heldBy // the same by the gateway that told
 	promised float64        // hops that other gateways are about to send, as drawn for them
 	said     int            // own hops out as last told
+	again    bool           // to be told of once more
 	unsaid   bool           // to be told of soon
 	ends     ends           // of own hops, not yet told
 	health
