--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,6 +19,7 @@
 	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
 	tellPart    = 0.01                   // of the revenue that telling sums may cost: little, knowing much
 	hintAge     = 100 * time.Millisecond // after which a host drawn by another gateway is no longer the best
+	promiseLag  = 50 * time.Millisecond  // until a hop drawn for another gateway is told as out: two messages
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
@@ -277,7 +278,7 @@
 // relay draws a host for each gateway that uses a zone and tells it that one: the host that promises most, with
 // what those drawn before will bring it. It does so as often as the price allows beside what transactions earn.
 func (b *Balancer) relay() {
-	told := 0
+	told, since := 0, b.now-b.flow.since
 	for _, g := range b.table.groups {
 		var to []int
 		for from, at := range g.toldAt {
@@ -286,9 +287,9 @@
 			}
 		}
 		for _, h := range g.hosts {
-			h.promised /= 2 // by now half of it is told as out
+			h.promised *= max(0, 1-float64(since)/float64(promiseLag))
 		}
-		each := b.flow.value * (b.now - b.flow.since).Seconds() / float64(max(1, len(to)))
+		each := b.flow.value * since.Seconds() / float64(max(1, len(to)))
 		for _, from := range to {
 			if h := b.least(g); h != nil {
 				b.out.Tell(from, []Held{{h.ID, h.own + h.others + int(h.promised), 0, 0, h.pace.value, h.whole.open}})
@@ -297,7 +298,7 @@
 			}
 		}
 	}
-	b.flow.add(float64(b.flow.ends)/max(b.now-b.flow.since, tick).Seconds(), paceStep)
+	b.flow.add(float64(b.flow.ends)/max(since, tick).Seconds(), paceStep)
 	b.flow.ends, b.flow.since = 0, b.now
 	if b.relaying = told > 0; b.relaying {
 		cost := float64(told) * b.price.Told / (tellPart * max(b.flow.value, 1))
