--- a/logic/logic.go
+++ b/logic/logic.go
@@ -501,9 +501,6 @@
 	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
 		for i, g := range b.table.groups {
-			if i > 0 && b.blind(g) { // many gateways would all take what they know nothing of for idle
-				continue
-			}
 			h, e, busy := b.draw(g, t, barred, min(near, most))
 			if h == nil || i > 0 && e > most {
 				continue
@@ -524,19 +521,6 @@
 	}
 }
 
-// blind tells whether a further zone's hosts are unknown for now to one of many gateways that tell. It asks who
-// collects for it by telling of a host there.
-func (b *Balancer) blind(g *group) bool {
-	if !b.from.Tells || b.place.Gateways <= fewGateways || b.collector(g) == b.place.Me || len(g.hosts) == 0 {
-		return false
-	}
-	if b.now-g.asked > staleAge/2 {
-		g.asked = b.now
-		b.unsaid(g.hosts[0])
-	}
-	return g.hint == nil || b.now-g.heard > hintAge
-}
-
 // draw picks from a group by weight, once more where that is well over the mean; if that is over near all the
 // same, the host that promises most. With it comes the group's reported utilisation.
 func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
@@ -699,7 +683,7 @@
 		h.waiting = b.now
 	}
 	b.unsaid(h)
-
+	h.group.hint = nil // one hop each
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -151,7 +151,6 @@
 	hosts   []*host
 	skip    int             // collectors given up as silent
 	heard   time.Duration   // when the collector last told
-	asked   time.Duration   // when it was last asked for a host here
 	awaited time.Duration   // since when it is waited for
 	toldAt  []time.Duration // by gateway: when it last told this one of the hosts here
 	hint    *host           // drawn for this gateway by the one that collects
