--- a/internal/simwire/held.go
+++ b/internal/simwire/held.go
@@ -4,29 +4,24 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"time"
 
 	"spanmux/logic"
 )
 
 const (
-	heldBytes = 7   // a host's id, a count, how hops ended, a pace
+	heldBytes = 9   // a host's id, hops, what is told and an end, a profile, a time
 	mostBytes = 256 // what the wire takes in one message
-	paceUnits = 32  // to a usual pace, so that a byte reaches to eight times that
-	openBit   = 1 << 7
-	mostGood  = 15
-	mostBad   = 7
+	tookUnit  = 100 * time.Microsecond
 )
 
-// heldText is what a gateway tells of hosts, as the wire has it.
+// heldText is what a gateway tells another, as the wire has it.
 func heldText(held []logic.Held) string {
 	msg := make([]byte, 0, mostBytes)
 	for _, k := range held {
-		marks := min(k.Good, mostGood) | min(k.Bad, mostBad)<<4
-		if k.Open {
-			marks |= openBit
-		}
 		msg = binary.LittleEndian.AppendUint32(msg, uint32(k.Host))
-		msg = append(msg, byte(min(k.Hops, 255)), byte(marks), byte(min(k.Pace*paceUnits, 255)))
+		msg = append(msg, byte(min(k.Hops, 255)), byte(k.Kind)<<4|byte(k.End), byte(k.Profile))
+		msg = binary.LittleEndian.AppendUint16(msg, uint16(min(k.Took/tookUnit, 1<<16-1)))
 	}
 	return hex.EncodeToString(msg)
 }
@@ -44,10 +39,9 @@
 	}
 	held := make([]logic.Held, 0, len(msg)/heldBytes)
 	for ; len(msg) > 0; msg = msg[heldBytes:] {
-		marks := int(msg[5])
 		held = append(held, logic.Held{Host: logic.HostID(binary.LittleEndian.Uint32(msg)), Hops: int(msg[4]),
-			Good: marks & mostGood, Bad: marks >> 4 & mostBad, Open: marks&openBit != 0,
-			Pace: float64(msg[6]) / paceUnits})
+			Kind: logic.HeldKind(msg[5] >> 4), End: logic.End(msg[5] & 15), Profile: int(msg[6]),
+			Took: time.Duration(binary.LittleEndian.Uint16(msg[7:])) * tookUnit})
 	}
 	return held, nil
 }
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -43,14 +43,7 @@
 	// refuse gateway/0 7 100000
 	// dispatch gateway/0 8 17 395000
 	// drop_request gateway/0 8
-	// track gateway/0 1
-	// set_alarm gateway/0 1 10000
-	// done
-	// set_alarm gateway/0 1 662245
-	// set_alarm gateway/0 1 286010
-	// refuse gateway/0 9 100000
-	// done
-	// done
+	// error: line 13: whisper: message: 7 bytes are no whole number of hosts
 }
 
 // What is malformed ends the run with its line and a plain word on what is wrong.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,51 +14,50 @@
 )
 
 const (
-	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
-	second      = time.Second            // between weight changes, as the decision record has it
-	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
-	tellPart    = 0.01                   // of the revenue that telling sums may cost: little, knowing much
-	hintAge     = 100 * time.Millisecond // after which a host drawn by another gateway is no longer the best
-	promiseLag  = 50 * time.Millisecond  // until a hop drawn for another gateway is told as out: two messages
-	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
-	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
-	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
-	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
-	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
-	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
-	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
-	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
-	slowFactor  = 1.5                    // latency over the median that cuts it, ditto; well over the mean
-	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
-	weightLeast = 0.1                    // of the mean weight, ditto
-	weightMost  = 2.0                    // of the mean weight, ditto
-	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
-	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
-	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
-	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
-	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
-	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
-	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
-	copyAfter   = 2.0                    // expected times after which a second copy is sent
-	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
-	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
-	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
-	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
-	fullMost    = 0.9                    // of the goal: the same at most, as twice a crossing's price is added
-	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
-	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
-	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
-	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
-	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
-	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
-	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
-	busyCalm    = 0.6                    // reported utilisation well under that, where a host has room for anyone
-	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
-	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
-	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
-	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
-	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
+	tick        = 10 * time.Millisecond // changes wait so long to be told together: far less than a hop's time
+	second      = time.Second           // between weight changes, as the decision record has it
+	fewGateways = 8                     // that may each tell, probe and try for themselves at a bearable price
+	askWait     = 80 * time.Millisecond // for a host drawn by another gateway: some messages' time
+	relayTick   = 25 * time.Millisecond // between sums told to those that draw for other zones
+	askEach     = 25 * time.Millisecond // of a list source's time for each gateway: some dozen calls a second
+	askAgain    = time.Second           // first delay after a lost list, doubled twice; lists are seconds late
+	rowToOpen   = 5                     // failures in a row that open a breaker, the paper's figure
+	shareToOpen = 0.25                  // share of errors over that at all hosts: two or three close together
+	shareStep   = 0.15                  // smoothing of that share: about the last seven outcomes
+	coolFirst   = 2 * time.Second       // first cooldown: one trial costs little, a barred host much
+	coolMost    = 5 * time.Second       // longest cooldown, the decision record's figure
+	cutFactor   = 0.7                   // weight after a bad second, the decision record's figure
+	slowFactor  = 1.5                   // latency over the median that cuts it, ditto; well over the mean
+	raisePart   = 0.1                   // part of the mean weight gained in a good second, ditto
+	weightLeast = 0.1                   // of the mean weight, ditto
+	weightMost  = 2.0                   // of the mean weight, ditto
+	paceLeast   = 0.5                   // of the usual pace: hosts are hardly ever twice as fast as the mean
+	paceStep    = 0.1                   // smoothing of a host's pace and a tenant's rate: their last ten
+	forget      = 0.2                   // of a pace over the usual, a second: gone in some ten
+	workStep    = 0.02                  // smoothing of a profile's time: the last fifty answers
+	firstGuess  = 0.25                  // of the service goal: time of a profile never seen
+	staleAge    = 2 * time.Second       // after which reports, tells and a host's pace say little of now
+	priorPaces  = 3.0                   // answers for which the usual pace counts at a new host
+	copyAfter   = 2.0                   // expected times after which a second copy is sent
+	freeRise    = 0.005                 // a second: how fast the least time of a profile is forgotten, minutes
+	overdue     = 2.0                   // expected times after which a time-out counts for the breaker
+	silentRuns  = 3.0                   // latencies, over hops out, without an answer that make a host silent
+	fullFrom    = 0.25                  // of the goal: expected time from which a group is near full
+	fullMost    = 0.9                   // of the goal: the same at most, as twice a crossing's price is added
+	crowdFree   = 2.0                   // hops a slot, the new one too, up to which a host is never near full
+	busyFull    = 0.85                  // reported utilisation of a full group, the paper's figure
+	admitMost   = 0.9                   // of the goal: expected time over which a transaction is rolled back
+	admitTail   = 0.7                   // the same where a missed goal costs more than its own revenue
+	yieldFrom   = 2.5                   // times the revenue for the same work to which a profile yields
+	yieldPart   = 0.8                   // of the expected time at which that one would be rolled back
+	crowdMost   = 2.2                   // hops a slot over which a host gets no more done and only slows down
+	crowdUntold = 3.0                   // the same where only the own ones are known, and the time is the least
+	busyCalm    = 0.6                   // reported utilisation well under that, where a host has room for anyone
+	overCrowd   = 1.0                   // the same for a tenant over its share: a free slot at a usual host
+	greedyFrom  = 1.5                   // of its portion that makes a tenant greedy: more than chance does
+	overSlack   = 1.2                   // of its portion that it has all the same, as the portion is a guess
+	goalSlack   = 5 * time.Millisecond  // by which an answer must come before the goal to reach its client
+	coldPart    = 0.8                   // of this gateway's share of a cold host's budget that it spends
 )
 
 // at has something done at its time; the one timer is set for the first of these.
@@ -89,7 +88,7 @@
 			b.unsaid(h)
 		}
 		h.again = false
-		if b.from.Probes && !b.table.isCold(h, b.now) && b.rare() {
+		if to := b.drawer(h.group); b.from.Probes && !b.table.isCold(h, b.now) && (to == b.place.Me || to < 0 && b.rare()) {
 			b.out.Probe(h.ID)
 		}
 	}
@@ -182,18 +181,71 @@
 	return len(h.sent) < max(1, int(share)) && (share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
-// What gateways tell each other: what they have out at hosts, and how hops ended. Few tell all others. Many tell
-// one for each zone, which collects and tells the sums to those that told it: messages then grow with the
-// transactions, not with the square of the gateways.
+// What gateways tell each other. Few tell all others what they have out. Many hardly meet a host twice, so for
+// each zone one of them draws for all: it is asked for a host for each transaction and told how each hop ended.
+// Messages grow with the transactions, not with the square of the gateways. Unanswered, a gateway draws itself.
 
-// collector is the gateway to tell of a zone's hosts, -1 for all.
-func (b *Balancer) collector(g *group) int {
-	if b.place.Gateways <= fewGateways {
+func (b *Balancer) many() bool { return b.from.Tells && b.place.Gateways > fewGateways }
+
+// drawer is the gateway that draws for a zone, -1 where each draws for itself.
+func (b *Balancer) drawer(g *group) int {
+	if !b.many() {
 		return -1
 	}
 	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
 }
 
+// knows tells whether this gateway is told enough of a host: by all gateways, or by the one that draws there.
+func (b *Balancer) knows(h *host) bool {
+	to := b.drawer(h.group)
+	return to < 0 || to == b.place.Me || b.now-h.heldBy[to].at < askWait
+}
+
+func (b *Balancer) ask(t *tx) {
+	g := b.table.groups[0]
+	if b.now-max(g.heard, g.awaited) > staleAge {
+		g.awaited = b.now
+	}
+	b.asking = append(b.asking, t)
+	b.out.Tell(b.drawer(g), []Held{{Kind: Asks, Profile: t.profile, Hops: g.index}})
+	b.at(b.now+askWait, func() {
+		if i := slices.Index(b.asking, t); i >= 0 {
+			b.asking = slices.Delete(b.asking, i, i+1)
+			b.place1(t)
+		}
+	})
+}
+
+func (b *Balancer) answered(k Held) {
+	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == k.Profile })
+	if i < 0 {
+		return
+	}
+	t := b.asking[i]
+	b.asking = slices.Delete(b.asking, i, i+1)
+	h := b.table.byID[k.Host]
+	switch {
+	case t.done:
+	case k.Host == 0:
+		b.shed++
+		b.finish(t)
+	case h != nil && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h):
+		b.hold(h, b.drawer(b.table.groups[0]), max(0, k.Hops-h.own))
+		b.send(t, h, b.expect(h, t.profile))
+	default:
+		b.place1(t)
+	}
+}
+
+// hold counts what another gateway has out at a host.
+func (b *Balancer) hold(h *host, from, hops int) {
+	if h.own+h.others == 0 {
+		h.waiting = b.now
+	}
+	h.others += hops - h.heldBy[from].hops
+	h.heldBy[from] = heldBy{hops, b.now}
+}
+
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
 	if !b.from.Tells || b.place.Gateways < 2 || h.unsaid {
@@ -210,16 +262,13 @@
 		var held []Held
 		for _, h := range b.untold {
 			if h.group == g {
-				held = append(held, Held{h.ID, h.own, h.ends.good, h.ends.bad, h.ends.pace.value, false})
-				h.again = h.again || h.said != h.own
-				h.said, h.unsaid, h.ends = h.own, false, ends{}
+				held = append(append(held, h.ends...), Held{Host: h.ID, Hops: h.own})
+				h.again = h.again || h.said != h.own // said once more, as messages may be lost
+				h.said, h.unsaid, h.ends = h.own, false, nil
 			}
 		}
-		if to := b.collector(g); to != b.place.Me && held != nil {
+		if to := b.drawer(g); to != b.place.Me && held != nil {
 			b.out.Tell(to, held)
-			if b.now-max(g.heard, g.awaited) > staleAge {
-				g.awaited = b.now
-			}
 		}
 	}
 	b.untold = b.untold[:0]
@@ -229,93 +278,67 @@
 	b.now = now
 	for _, k := range held {
 		h := b.table.byID[k.Host]
-		if h == nil || h.group == nil {
-			continue
-		}
-		to := b.collector(h.group)
-		if to == from {
-			h.group.heard, h.group.hint, k.Hops = now, h, max(0, k.Hops-h.said)
-			b.adopt(h, k)
-		} else if to >= 0 {
-			h.group.toldAt[from] = now
-			b.collect(h, k)
+		switch {
+		case k.Kind == Answer:
+			b.table.groups[0].heard = now
+			b.answered(k)
+		case k.Kind == Asks && k.Profile < len(b.profiles):
+			b.drawFor(from, k)
+		case h == nil || h.State != Ready:
+		case k.Kind == Sum:
+			h.pace.value = float64(k.Took) / b.work[0].value
+			b.hold(h, from, k.Hops)
+		case k.Kind == Ended && k.Profile < len(b.profiles):
+			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
+		case k.Kind == Out:
+			b.hold(h, from, k.Hops)
+		}
+	}
+}
+
+// drawFor draws a host for a transaction of another gateway, which counts as out there from now on.
+func (b *Balancer) drawFor(from int, k Held) {
+	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.groups[0]}
+	for _, g := range b.table.groups {
+		if g.index == k.Hops {
+			t.home = g
 		}
-		h.others += k.Hops - h.heldBy[from].hops
-		h.heldBy[from] = heldBy{k.Hops, now}
 	}
-}
-
-// collect counts how hops of another gateway ended as if they were own ones.
-func (b *Balancer) collect(h *host, k Held) {
-	b.flow.ends += k.Good + k.Bad
-	if k.Pace > 0 {
-		h.learnPace(k.Pace)
-		h.paced = b.now
-	}
-	for i := range k.Good + k.Bad {
-		c := &h.whole
-		c.trying = c.trying || c.open && b.now >= c.until
-		b.judge(h, c, "all profiles", i >= k.Good, 1)
+	answer := Held{Kind: Answer, Profile: k.Profile}
+	if h, _ := b.choose1(t); h != nil {
+		answer.Host, answer.Hops = h.ID, h.own+h.others
+		if to := b.drawer(h.group); to != b.place.Me {
+			from1 := to // until its next sum
+			b.hold(h, from1, h.heldBy[from1].hops+1)
+		} else {
+			b.hold(h, from, h.heldBy[from].hops+1)
+		}
+		h.tried(k.Profile, b.now)
 	}
+	b.out.Tell(from, []Held{answer})
 	if !b.relaying {
 		b.relaying = true
-		b.at(b.now+tick, b.relay)
-	}
-}
-
-// adopt takes over what the collector knows of a host from the answers to all gateways.
-func (b *Balancer) adopt(h *host, k Held) {
-	if k.Pace > 0 {
-		h.pace.value, h.paced = k.Pace, b.now
-	}
-	if k.Open && !h.whole.open {
-		h.whole.bar(b.now, b.chance.draw())
-	} else if !k.Open && h.whole.open {
-		h.whole = breaker{share: h.whole.share / 2}
+		b.relay()
 	}
 }
 
-// relay draws a host for each gateway that uses a zone and tells it that one: the host that promises most, with
-// what those drawn before will bring it. It does so as often as the price allows beside what transactions earn.
+// relay tells those that draw for other zones how the hosts of this one stand.
 func (b *Balancer) relay() {
-	told, since := 0, b.now-b.flow.since
+	b.at(b.now+relayTick, b.relay)
+	var sums []Held
 	for _, g := range b.table.groups {
-		var to []int
-		for from, at := range g.toldAt {
-			if at > 0 && b.now-at < staleAge {
-				to = append(to, from)
-			}
-		}
 		for _, h := range g.hosts {
-			h.promised *= max(0, 1-float64(since)/float64(promiseLag))
-		}
-		each := b.flow.value * since.Seconds() / float64(max(1, len(to)))
-		for _, from := range to {
-			if h := b.least(g); h != nil {
-				b.out.Tell(from, []Held{{h.ID, h.own + h.others + int(h.promised), 0, 0, h.pace.value, h.whole.open}})
-				h.promised += each
-				told++
+			if b.drawer(g) == b.place.Me && !h.whole.open && !b.silent(h) {
+				sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others,
+					Took: time.Duration(h.pace.value * b.work[0].value)})
 			}
 		}
 	}
-	b.flow.add(float64(b.flow.ends)/max(since, tick).Seconds(), paceStep)
-	b.flow.ends, b.flow.since = 0, b.now
-	if b.relaying = told > 0; b.relaying {
-		cost := float64(told) * b.price.Told / (tellPart * max(b.flow.value, 1))
-		b.at(b.now+min(max(tick, time.Duration(cost*float64(time.Second))), staleAge/4), b.relay)
-	}
-}
-
-// least is the host of a group that promises most.
-func (b *Balancer) least(g *group) (best *host) {
-	least := math.Inf(1)
-	for _, h := range g.hosts {
-		x := h.pace.value * (float64(h.own+h.others+1) + h.promised) / h.slots()
-		if x < least && (!h.whole.open || b.now >= h.whole.until && !h.whole.trying) && b.coldRoom(h) {
-			best, least = h, x
+	for _, g := range b.table.groups {
+		if to := b.drawer(g); to != b.place.Me {
+			b.out.Tell(to, sums)
 		}
 	}
-	return best
 }
 
 // Health: breakers, latency and weight of a host.
@@ -355,33 +378,45 @@
 	}
 }
 
+// tried notes a trial that is on its way; another is due only after the longest cooldown.
+func (h *host) tried(profile int, now time.Duration) {
+	for _, k := range []*breaker{&h.whole, &h.by[profile]} {
+		if k.open && now >= k.until {
+			k.trying, k.until = true, now+coolMost
+		}
+	}
+}
+
 func (h *host) trialDue(profile int, now time.Duration) bool {
-	due := func(k *breaker) bool { return !k.open || now >= k.until && !k.trying }
+	due := func(k *breaker) bool { return !k.open || now >= k.until }
 	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
 }
 
 // silent tells whether a host takes work and answers nothing, for far longer than its hops out explain. It is
 // passed over until it answers, long before its hops time out.
-func (h *host) silent(now time.Duration) bool {
-	return h.own > 0 && h.lat.n > 0 && float64(now-h.waiting) > h.lat.value*(1+silentRuns/float64(h.own))
+func (b *Balancer) silent(h *host) bool {
+	out := h.own
+	if b.drawer(h.group) == b.place.Me {
+		out += h.others // it is told of all answers too
+	}
+	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
 func (h *host) report(l Load, now time.Duration) {
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
-	if l.Held > 0 && (l.Waiting > 0 || l.Waiting == 0 && l.Held > h.model.places.value) {
-		h.model.places.add(max(1, l.Held-l.Waiting), paceStep)
+	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
+		p.add(max(1, l.Held-l.Waiting), paceStep)
+	} else if l.Waiting == 0 {
+		p.value = max(p.value, l.Held)
 	}
 }
 
 // learn takes what the end of a hop says of its host.
-func (b *Balancer) learn(k *hop, profile int, r Result) {
-	h := k.host
-	h.own--
-	b.unsaid(h)
+func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	h.report(r.Load, b.now)
-	crowd, work, took := max(1, k.load/h.slots()), &b.work[profile], float64(r.Took)
+	crowd, work, took := h.crowded(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
 	case Committed:
@@ -389,7 +424,6 @@
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.learnPace(took / crowd / work.value)
-		h.ends.pace.add(took/crowd/work.value, 0)
 	case TimedOut, CalledOff:
 		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang. So
 		// does one called off for its second copy, or a host that hangs would be cleared each time by that.
@@ -413,11 +447,6 @@
 			b.judge(h, c, of[i], bad, errs)
 		}
 	}
-	if r.End == Committed {
-		h.ends.good++
-	} else if errs > 0 {
-		h.ends.bad++
-	}
 }
 
 // learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast, which brings
@@ -430,7 +459,6 @@
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
 // as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
 func (b *Balancer) settlePaces() {
-	shared := b.from.Tells && b.place.Gateways > fewGateways // paces come from who collects
 	mean := average{1, 0}
 	for _, h := range b.table.ready {
 		h.model.through.n = min(h.model.through.n, 0)
@@ -443,9 +471,7 @@
 	}
 	for i := range b.work {
 		w, guess := &b.work[i], firstGuess*float64(b.profiles[i].Goal)
-		if !shared {
-			w.value *= mean.value
-		}
+		w.value *= mean.value
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
 		if b.from.Tells || w.value < b.free[i] {
 			b.free[i] = w.value
@@ -454,9 +480,6 @@
 		}
 	}
 	for _, h := range b.table.ready {
-		if shared && b.collector(h.group) != b.place.Me {
-			continue
-		}
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
 			h.pace.value += forget * (1 - h.pace.value)
 		}
@@ -489,7 +512,7 @@
 
 // expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * max(1, h.crowd())
+	return b.work[profile].value * h.pace.value * h.crowd()
 }
 
 // choose takes the own group unless that is near full, else the group that promises most: a further one the
@@ -500,13 +523,19 @@
 	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
 	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
-		for i, g := range b.table.groups {
+		for i := -1; i < len(b.table.groups); i++ {
+			g := t.home
+			if i >= 0 {
+				if g = b.table.groups[i]; g == t.home {
+					continue
+				}
+			}
 			h, e, busy := b.draw(g, t, barred, min(near, most))
-			if h == nil || i > 0 && e > most {
+			if h == nil || g != t.home && e > most {
 				continue
 			}
 			pick, expected = h, e
-			if i > 0 {
+			if g != t.home {
 				most = e
 			} else if h.trialDue(t.profile, b.now) ||
 				e <= most && (h.crowd() <= crowdFree || e <= near && busy < busyFull) {
@@ -527,15 +556,12 @@
 	var second, best *host
 	var mean, busy average
 	var e2, least, first, next float64
-	few := b.place.Gateways <= fewGateways
-	if b.collector(g) == b.place.Me {
-		g.hint, g.heard = b.least(g), b.now
-	}
-	if h := g.hint; h != nil && b.now-g.heard < hintAge && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h) {
-		return h, b.expect(h, t.profile), 0
-	}
+	few := b.place.Gateways <= fewGateways || b.drawer(b.table.groups[0]) == b.place.Me || b.relaying
 	for _, h := range g.hosts {
-		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && h.silent(b.now) {
+		if b.relaying && !b.knows(h) {
+			continue
+		}
+		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) {
 			continue
 		}
 		x := b.expect(h, t.profile)
@@ -646,21 +672,42 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, home: b.table.groups[0], stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
-	most := b.patience(a.Profile)
+	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
+	if to := b.drawer(b.table.groups[0]); to >= 0 && to != b.place.Me {
+		b.ask(t)
+	} else {
+		b.place1(t)
+	}
+}
+
+// choose1 is the host for a transaction that has arrived, nil where it is better rolled back.
+func (b *Balancer) choose1(t *tx) (*host, float64) {
+	most := b.patience(t.profile)
 	h, e := b.choose(t)
-	if a.Tenant >= 0 && b.admit.over(a.Tenant) && h != nil && !h.calm(b.now) {
-		most = min(most, overCrowd*b.free[a.Profile])
+	if t.over && h != nil && !h.calm(b.now) {
+		most = min(most, overCrowd*b.free[t.profile])
 	}
 	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
 	// would be too many: to one of many gateways most hosts are idle in any jam.
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
+		return nil, 0
+	}
+	return h, e
+}
+
+func (b *Balancer) place1(t *tx) {
+	if t.done {
+		return
+	}
+	h, e := b.choose1(t)
+	if h == nil {
 		b.shed++
 		b.finish(t)
 		return
@@ -670,9 +717,7 @@
 
 func (b *Balancer) send(t *tx, h *host, expected float64) {
 	i := len(t.hops)
-	for _, k := range []*breaker{&h.whole, &h.by[t.profile]} {
-		k.trying = k.trying || k.open && b.now >= k.until
-	}
+	h.tried(t.profile, b.now)
 	if h.Zone != b.place.Zone {
 		b.spilt++
 	}
@@ -683,7 +728,6 @@
 		h.waiting = b.now
 	}
 	b.unsaid(h)
-	h.group.hint = nil // one hop each
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
@@ -742,7 +786,12 @@
 	k := &t.hops[i]
 	k.over, k.end = true, r.End
 	t.out--
-	b.learn(k, t.profile, r)
+	k.host.own--
+	b.unsaid(k.host)
+	if b.many() && b.drawer(k.host.group) != b.place.Me {
+		k.host.ends = append(k.host.ends, Held{Kind: Ended, Host: k.host.ID, Hops: int(k.load), Profile: t.profile, End: r.End, Took: r.Took})
+	}
+	b.learn(k.host, k.load, t.profile, r)
 	if t.done || over {
 		k.then = func() { b.settle(t) }
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -244,12 +244,12 @@
 	// one by one: map[1:20]
 	// 2200 tx 100 hop to 1 for 1000
 	// 2200 tx 101 hop to 1 for 1000
-	// 2200 tx 102 hop to 2 for 1000
+	// 2200 tx 102 hop to 1 for 1000
 	// 2200 tx 103 hop to 2 for 1000
-	// 2200 tx 104 hop to 1 for 1000
-	// 2200 tx 105 rolled back, come back after 60
-	// 2200 tx 106 rolled back, come back after 60
-	// 2200 tx 107 rolled back, come back after 60
+	// 2200 tx 104 hop to 2 for 1000
+	// 2200 tx 105 hop to 2 for 1000
+	// 2200 tx 106 hop to 1 for 1000
+	// 2200 tx 107 hop to 2 for 1000
 }
 
 // A profile that earns far more for the same work still gets room where the cheaper one is rolled back.
--- a/logic/state.go
+++ b/logic/state.go
@@ -10,7 +10,7 @@
 // Balancer decides for one gateway. Its parts each own their state: the host table, the health of each host,
 // admission, and each transaction's path.
 type Balancer struct {
-	out      Out
+	out      Doer
 	place    Place
 	profiles []Profile
 	hops     HopRule
@@ -33,11 +33,11 @@
 
 	untold   []*host // hosts to tell of soon
 	relaying bool    // sums are due to be told
-	flow     flow    // of what other gateways tell
+	asking   []*tx   // waiting for a host drawn by another gateway
 }
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
-func New(out Out, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
+func New(out Doer, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
@@ -48,7 +48,7 @@
 	own := max(0, slices.Index(place.Zones, place.Zone))
 	for i := range place.Zones {
 		at := (own + i) % len(place.Zones)
-		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at, toldAt: make([]time.Duration, place.Gateways)})
+		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at})
 	}
 	for _, t := range tenants {
 		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
@@ -149,11 +149,9 @@
 	zone    string
 	index   int // among the zones
 	hosts   []*host
-	skip    int             // collectors given up as silent
-	heard   time.Duration   // when the collector last told
-	awaited time.Duration   // since when it is waited for
-	toldAt  []time.Duration // by gateway: when it last told this one of the hosts here
-	hint    *host           // drawn for this gateway by the one that collects
+	skip    int           // collectors given up as silent
+	heard   time.Duration // when the collector last told
+	awaited time.Duration // since when it is waited for
 }
 
 // heard is an average with the time of its last sample.
@@ -167,33 +165,20 @@
 	at   time.Duration
 }
 
-type ends struct {
-	good, bad int
-	pace      average
-}
-
-// flow is how many hops a second other gateways tell of as ended.
-type flow struct {
-	average
-	ends  int
-	since time.Duration
-}
-
 func (t *table) isCold(h *host, now time.Duration) bool {
 	return h.Started > 0 && now-h.Started < t.cold.WarmUp
 }
 
 type host struct {
 	Host
-	own      int // hops of this gateway out
-	group    *group
-	others   int            // hops of the other gateways out, as told
-	heldBy   map[int]heldBy // the same by the gateway that told
-	promised float64        // hops that other gateways are about to send, as drawn for them
-	said     int            // own hops out as last told
-	again    bool           // to be told of once more
-	unsaid   bool           // to be told of soon
-	ends     ends           // of own hops, not yet told
+	own    int // hops of this gateway out
+	group  *group
+	others int            // hops of the other gateways out, as told
+	heldBy map[int]heldBy // the same by the gateway that told
+	said   int            // own hops out as last told
+	again  bool           // to be told of once more
+	unsaid bool           // to be told of soon
+	ends   []Held         // how own hops ended, not yet told
 	health
 	sent []time.Duration // hops within the last TipAfter, nil unless it started cold
 }
@@ -215,11 +200,17 @@
 
 func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
 
-// slots is how many hops a host works on at once: one, unless reports of its kind show more.
-func (h *host) slots() float64 { return max(1, h.model.places.value) }
+// crowded is how much longer a hop takes among so many at a host, itself included: as they share its slots, where
+// reports of its kind show them. Else hosts with one slot and with several are met halfway.
+func (h *host) crowded(hops float64) float64 {
+	if h.model.places.value == 0 {
+		return (hops + 1) / 2
+	}
+	return max(1, hops/max(1, h.model.places.value))
+}
 
-// crowd is how many hops a slot a host would hold with one more.
-func (h *host) crowd() float64 { return float64(h.own+h.others+1) / h.slots() }
+// crowd is the same with one more.
+func (h *host) crowd() float64 { return h.crowded(float64(h.own + h.others + 1)) }
 
 // calm tells whether a host has lately reported that it has room to spare.
 func (h *host) calm(now time.Duration) bool {
@@ -254,8 +245,10 @@
 	prof    *Profile
 	stop    time.Duration // when an answer earns nothing more, or the budget ends
 	hops    []hop
-	out     int  // hops out
-	done    bool // it has its final answer, or its stream has begun
+	out     int    // hops out
+	home    *group // the zone it came in
+	over    bool   // beyond its tenant's share
+	done    bool   // it has its final answer, or its stream has begun
 }
 
 type hop struct {
--- a/logic/types.go
+++ b/logic/types.go
@@ -10,7 +10,7 @@
 )
 
 // Gateway is all that a protocol calls. Every call carries the time since the start; what the module
-// wants done it does through Out before the call returns.
+// wants done it does through Doer before the call returns.
 type Gateway interface {
 	// List takes the host list, or the changes to it. A Lost list carries no hosts: the call for it failed.
 	List(now time.Duration, kind ListKind, hosts []Host)
@@ -26,12 +26,12 @@
 	Probed(now time.Duration, host HostID, l Load)
 	// Told brings what another gateway has told.
 	Told(now time.Duration, from int, held []Held)
-	// Timer reports that a timer set through Out has fallen due.
+	// Timer reports that a timer set through Doer has fallen due.
 	Timer(now time.Duration)
 }
 
-// Out is what a protocol does for the module.
-type Out interface {
+// Doer is what a protocol does for the module.
+type Doer interface {
 	// Hop sends the transaction to a host, for as long as wait; hops of a transaction count from 0.
 	Hop(id TxID, host HostID, wait time.Duration)
 	CallOff(id TxID, hop int)
@@ -48,16 +48,26 @@
 	Log(line string)
 }
 
-// Held is what one gateway tells of a host: the hops out there; with them how hops ended since it last told, or,
-// from one that collects, the hops of all and what it holds of the host.
+// Held is what one gateway tells another.
 type Held struct {
-	Host      HostID
-	Hops      int
-	Good, Bad int
-	Pace      float64 // the mean of its answers' time against the usual, 0 for unknown
-	Open      bool    // its breaker
+	Kind    HeldKind
+	Host    HostID
+	Hops    int // out there; of an end, as many as were there when its hop was sent
+	Profile int
+	End     End
+	Took    time.Duration // of a sum: what the first profile takes at that host when it is free
 }
 
+type HeldKind int
+
+const (
+	Out    HeldKind = iota // hops that the gateway has out at the host
+	Sum                    // hops of all gateways there
+	Ended                  // how one hop there ended
+	Asks                   // for a host for a transaction
+	Answer                 // the host, none where it is better rolled back
+)
+
 type ListKind int
 
 const (
