--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,7 +17,7 @@
 	tick        = 10 * time.Millisecond // changes wait so long to be told together: far less than a hop's time
 	second      = time.Second           // between weight changes, as the decision record has it
 	fewGateways = 8                     // that may each tell, probe and try for themselves at a bearable price
-	askWait     = 80 * time.Millisecond // for a host drawn by another gateway: some messages' time
+	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
 	relayTick   = 25 * time.Millisecond // between sums told to those that draw for other zones
 	askEach     = 25 * time.Millisecond // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second           // first delay after a lost list, doubled twice; lists are seconds late
@@ -195,6 +195,12 @@
 	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
 }
 
+// draws tells whether this gateway decides for a zone's hosts by what it sees itself.
+func (b *Balancer) draws(g *group) bool {
+	to := b.drawer(g)
+	return to < 0 || to == b.place.Me
+}
+
 // knows tells whether this gateway is told enough of a host: by all gateways, or by the one that draws there.
 func (b *Balancer) knows(h *host) bool {
 	to := b.drawer(h.group)
@@ -217,13 +223,16 @@
 }
 
 func (b *Balancer) answered(k Held) {
+	h := b.table.byID[k.Host]
+	if h != nil && h.group != nil {
+		b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
+	}
 	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == k.Profile })
 	if i < 0 {
 		return
 	}
 	t := b.asking[i]
 	b.asking = slices.Delete(b.asking, i, i+1)
-	h := b.table.byID[k.Host]
 	switch {
 	case t.done:
 	case k.Host == 0:
@@ -464,7 +473,9 @@
 		h.model.through.n = min(h.model.through.n, 0)
 	}
 	for _, h := range b.table.ready {
-		mean.add(h.pace.value, 0)
+		if b.draws(h.group) {
+			mean.add(h.pace.value, 0)
+		}
 		if h.lat.n > 0 && !b.table.isCold(h, b.now) { // as if one more were out
 			h.model.through.add(float64(h.own+h.others+1)*float64(second)/h.lat.value, 0)
 		}
@@ -480,6 +491,9 @@
 		}
 	}
 	for _, h := range b.table.ready {
+		if !b.draws(h.group) {
+			continue // its pace is told
+		}
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
 			h.pace.value += forget * (1 - h.pace.value)
 		}
