--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,50 +14,50 @@
 )
 
 const (
-	tick        = 10 * time.Millisecond // changes wait so long to be told together: far less than a hop's time
-	second      = time.Second           // between weight changes, as the decision record has it
-	fewGateways = 8                     // that may each tell, probe and try for themselves at a bearable price
+	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
+	second      = time.Second            // between weight changes, as the decision record has it
+	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
-	relayTick   = 25 * time.Millisecond // between sums told to those that draw for other zones
-	askEach     = 25 * time.Millisecond // of a list source's time for each gateway: some dozen calls a second
-	askAgain    = time.Second           // first delay after a lost list, doubled twice; lists are seconds late
-	rowToOpen   = 5                     // failures in a row that open a breaker, the paper's figure
-	shareToOpen = 0.25                  // share of errors over that at all hosts: two or three close together
-	shareStep   = 0.15                  // smoothing of that share: about the last seven outcomes
-	coolFirst   = 2 * time.Second       // first cooldown: one trial costs little, a barred host much
-	coolMost    = 5 * time.Second       // longest cooldown, the decision record's figure
-	cutFactor   = 0.7                   // weight after a bad second, the decision record's figure
-	slowFactor  = 1.5                   // latency over the median that cuts it, ditto; well over the mean
-	raisePart   = 0.1                   // part of the mean weight gained in a good second, ditto
-	weightLeast = 0.1                   // of the mean weight, ditto
-	weightMost  = 2.0                   // of the mean weight, ditto
-	paceLeast   = 0.5                   // of the usual pace: hosts are hardly ever twice as fast as the mean
-	paceStep    = 0.1                   // smoothing of a host's pace and a tenant's rate: their last ten
-	forget      = 0.2                   // of a pace over the usual, a second: gone in some ten
-	workStep    = 0.02                  // smoothing of a profile's time: the last fifty answers
-	firstGuess  = 0.25                  // of the service goal: time of a profile never seen
-	staleAge    = 2 * time.Second       // after which reports, tells and a host's pace say little of now
-	priorPaces  = 3.0                   // answers for which the usual pace counts at a new host
-	copyAfter   = 2.0                   // expected times after which a second copy is sent
-	freeRise    = 0.005                 // a second: how fast the least time of a profile is forgotten, minutes
-	overdue     = 2.0                   // expected times after which a time-out counts for the breaker
-	silentRuns  = 3.0                   // latencies, over hops out, without an answer that make a host silent
-	fullFrom    = 0.25                  // of the goal: expected time from which a group is near full
-	fullMost    = 0.9                   // of the goal: the same at most, as twice a crossing's price is added
-	crowdFree   = 2.0                   // hops a slot, the new one too, up to which a host is never near full
-	busyFull    = 0.85                  // reported utilisation of a full group, the paper's figure
-	admitMost   = 0.9                   // of the goal: expected time over which a transaction is rolled back
-	admitTail   = 0.7                   // the same where a missed goal costs more than its own revenue
-	yieldFrom   = 2.5                   // times the revenue for the same work to which a profile yields
-	yieldPart   = 0.8                   // of the expected time at which that one would be rolled back
-	crowdMost   = 2.2                   // hops a slot over which a host gets no more done and only slows down
-	crowdUntold = 3.0                   // the same where only the own ones are known, and the time is the least
-	busyCalm    = 0.6                   // reported utilisation well under that, where a host has room for anyone
-	overCrowd   = 1.0                   // the same for a tenant over its share: a free slot at a usual host
-	greedyFrom  = 1.5                   // of its portion that makes a tenant greedy: more than chance does
-	overSlack   = 1.2                   // of its portion that it has all the same, as the portion is a guess
-	goalSlack   = 5 * time.Millisecond  // by which an answer must come before the goal to reach its client
-	coldPart    = 0.8                   // of this gateway's share of a cold host's budget that it spends
+	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
+	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
+	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
+	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
+	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
+	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
+	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
+	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
+	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
+	slowFactor  = 1.5                    // latency over the median that cuts it, ditto; well over the mean
+	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
+	weightLeast = 0.1                    // of the mean weight, ditto
+	weightMost  = 2.0                    // of the mean weight, ditto
+	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
+	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
+	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
+	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
+	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
+	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
+	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
+	copyAfter   = 2.0                    // expected times after which a second copy is sent
+	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
+	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
+	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
+	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
+	fullMost    = 0.9                    // of the goal: the same at most, as twice a crossing's price is added
+	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
+	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
+	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
+	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
+	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
+	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
+	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
+	busyCalm    = 0.6                    // reported utilisation well under that, where a host has room for anyone
+	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
+	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
+	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
+	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
+	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
 // at has something done at its time; the one timer is set for the first of these.
@@ -214,7 +214,7 @@
 	}
 	b.asking = append(b.asking, t)
 	b.out.Tell(b.drawer(g), []Held{{Kind: Asks, Profile: t.profile, Hops: g.index}})
-	b.at(b.now+askWait, func() {
+	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
 		if i := slices.Index(b.asking, t); i >= 0 {
 			b.asking = slices.Delete(b.asking, i, i+1)
 			b.place1(t)
@@ -461,6 +461,7 @@
 // learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast, which brings
 // it the next burst.
 func (h *host) learnPace(p float64) {
+	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
 	h.pace.value = max(h.pace.value, paceLeast)
 }
@@ -494,10 +495,13 @@
 		if !b.draws(h.group) {
 			continue // its pace is told
 		}
-		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.pace.value > 1 {
-			h.pace.value += forget * (1 - h.pace.value)
+		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.model.pace.n > 0 {
+			h.pace.value += forget * (max(h.model.pace.value, paceLeast) - h.pace.value)
 		}
 	}
+	for _, m := range b.table.models {
+		m.pace.value /= mean.value
+	}
 }
 
 // reweigh is the decision record's change of weights in a group. Their mean stays 1, where new hosts start.
@@ -591,7 +595,7 @@
 			busy.add(h.busy, 0)
 		}
 		// The largest lot falls to each host as often as its weight asks.
-		if lot := math.Log(b.chance.draw()) / h.weight; pick == nil || lot > first {
+		if lot := math.Log(b.chance.draw()) * h.pace.value / h.weight; pick == nil || lot > first {
 			pick, second, e, e2, first, next = h, pick, x, e, lot, first
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -87,7 +87,7 @@
 	}
 	// Output:
 	// second 0 hops: map[1:39 2:11]
-	// second 1 hops: map[1:26 2:24]
+	// second 1 hops: map[1:27 2:23]
 	// second 2 hops: map[1:29 2:21]
 	// second 3 hops: map[1:23 2:27]
 }
@@ -315,10 +315,10 @@
 	fmt.Println(s.now, s.hopsTo)
 	// Output:
 	// 2.2s map[1:20]
-	// 8.86s map[1:120 2:2]
-	// 14.86s map[1:183 2:39]
-	// 20.86s map[1:228 2:94]
-	// 26.86s map[1:275 2:147]
+	// 9.19s map[1:120 2:3]
+	// 15.19s map[1:205 2:18]
+	// 21.19s map[1:253 2:70]
+	// 27.19s map[1:294 2:129]
 }
 
 // A profile that is turned away as full while others are answered is kept off that host.
--- a/logic/state.go
+++ b/logic/state.go
@@ -141,6 +141,7 @@
 // model is what like hosts show.
 type model struct {
 	places  average // hops in work at a full host, where reports show it
+	pace    average // times the usual time of a profile
 	through average // hops a second that a warm host gets through
 }
 
