--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -55,6 +55,9 @@
 		Via string `json:"via"`
 	} `json:"report"`
 	RevenueBy string `json:"revenueBy"`
+	Specifics struct {
+		WarmKeys bool `json:"warmKeys"`
+	} `json:"specifics"`
 }
 
 var effects = map[string]logic.Effect{
@@ -71,7 +74,7 @@
 	if err := json.Unmarshal(text, &o); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	in := &instance{gateways: o.Balancers, profiles: map[string]int{}, tenants: map[string]int{}}
+	in := &instance{gateways: o.Balancers, warmKeys: o.Specifics.WarmKeys, profiles: map[string]int{}, tenants: map[string]int{}}
 	profiles := make([]logic.Profile, len(o.Profiles))
 	for i, p := range o.Profiles {
 		effect, ok := effects[p.Effect]
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 type instance struct {
 	logic.Gateway
 	gateways          int
+	warmKeys          bool
 	profiles, tenants map[string]int
 }
 
@@ -218,7 +220,7 @@
 		id := logic.TxID(f.int())
 		f.int() // what the bits say: no decision needs it so far
 		tenant := f.text()
-		f.text() // nor the key
+		key := f.text()
 		budget := f.span()
 		f.int() // nor the guess of its cost
 		profile, known := in.profiles[string(f.rest)]
@@ -226,6 +228,9 @@
 			f.fail("unknown profile %q", f.rest)
 		}
 		a := logic.Arrival{Profile: profile, Tenant: -1, Budget: budget}
+		if in.warmKeys && !absent(key) {
+			a.Key = crc32.ChecksumIEEE(key) | 1
+		}
 		if t, ok := in.tenants[string(tenant)]; ok {
 			a.Tenant = t
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -595,7 +595,11 @@
 			busy.add(h.busy, 0)
 		}
 		// The largest lot falls to each host as often as its weight asks.
-		if lot := math.Log(b.chance.draw()) * h.pace.value / h.weight; pick == nil || lot > first {
+		luck := &b.chance
+		if t.key != 0 { // all gateways draw the same hosts for a key, as these remember it
+			luck = &chance{t.key, uint32(h.ID)}
+		}
+		if lot := math.Log(luck.draw()) * h.pace.value / h.weight; pick == nil || lot > first {
 			pick, second, e, e2, first, next = h, pick, x, e, lot, first
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
@@ -607,7 +611,7 @@
 	if e > slowFactor*mean.value && e2 < e {
 		pick, e = second, e2
 	}
-	if !few && second != nil && e2 < e { // all of many taking the best at once would bury it
+	if !few && t.key == 0 && second != nil && e2 < e { // all of many taking the best at once would bury it
 		pick, e = second, e2
 	} else if few && e > near {
 		pick, e = best, least
@@ -690,7 +694,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, home: b.table.groups[0], stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.groups[0], stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
--- a/logic/state.go
+++ b/logic/state.go
@@ -246,7 +246,8 @@
 	prof    *Profile
 	stop    time.Duration // when an answer earns nothing more, or the budget ends
 	hops    []hop
-	out     int    // hops out
+	out     int // hops out
+	key     uint32
 	home    *group // the zone it came in
 	over    bool   // beyond its tenant's share
 	done    bool   // it has its final answer, or its stream has begun
--- a/logic/types.go
+++ b/logic/types.go
@@ -133,6 +133,7 @@
 type Arrival struct {
 	Profile, Tenant int
 	Budget          time.Duration
+	Key             uint32 // of work that hosts remember, 0 where they do not
 }
 
 type End int
