--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,13 +1,11 @@
 package logic
 
-// How it is called: a protocol makes a Balancer with New and calls it through Gateway; it answers through
-// Out. Both are defined in types.go, what it remembers in state.go. There is no input, output, clock or
-// goroutine in here. The sections: time, host table, health, group choice and draw, admission, path.
+// How it is called: a protocol makes a Balancer with New and calls it through Gateway; it answers through Doer.
+// Both are defined in types.go; state.go stores what is remembered. No input, output, clock or goroutine in here.
+// The sections: time, host table, telling, health, group choice and draw, admission, path.
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -15,7 +13,6 @@
 
 const (
 	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
-	second      = time.Second            // between weight changes, as the decision record has it
 	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
 	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
@@ -52,8 +49,7 @@
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
-	busyCalm    = 0.6                    // reported utilisation well under that, where a host has room for anyone
-	overCrowd   = 1.0                    // the same for a tenant over its share: a free slot at a usual host
+	busyCalm    = 0.6                    // reported utilisation at which a host has room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
@@ -74,33 +70,27 @@
 	b.due.arm(now, b.out.SetTimer)
 }
 
-// periodic is the work of each second.
+// periodic is the work of each second, the decision record's interval between weight changes.
 func (b *Balancer) periodic() {
-	b.at(b.now+second, b.periodic)
+	b.at(b.now+time.Second, b.periodic)
 	for _, h := range b.table.ready {
-		for from, k := range h.heldBy { // order does not matter: what is too old goes
-			if b.now-k.at > staleAge {
-				h.others -= k.hops
-				delete(h.heldBy, from)
-			}
-		}
+		h.expire(b.now - staleAge)
 		if h.own > 0 || h.again { // said once more, as messages may be lost
 			b.unsaid(h)
 		}
 		h.again = false
-		if to := b.drawer(h.group); b.from.Probes && !b.table.isCold(h, b.now) && (to == b.place.Me || to < 0 && b.rare()) {
+		if b.from.Probes && !b.isCold(h) && b.draws(h.group) && (b.relaying || b.rare()) {
 			b.out.Probe(h.ID)
 		}
 	}
 	for _, g := range b.table.groups {
-		if g.awaited > g.heard && b.now-g.awaited > staleAge {
-			g.skip++ // who collects for this zone is silent: the next one
-			g.awaited = 0
+		if g.awaited > g.heard && b.now-g.awaited > staleAge { // who draws there is silent: the next one
+			g.skip, g.awaited = g.skip+1, 0
 		}
 		reweigh(g.hosts)
 	}
 	b.settlePaces()
-	b.admit.refill(float64(b.place.Gateways), second.Seconds())
+	b.admit.refill(float64(b.place.Gateways))
 	if b.shed > 0 {
 		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival, %d hops into other zones", b.shed, b.spilt))
 	}
@@ -114,118 +104,80 @@
 
 func (b *Balancer) List(now time.Duration, kind ListKind, hosts []Host) {
 	b.now = now
-	t := &b.table
-	switch kind {
-	case Lost:
-		t.lost++
-		b.out.Log(fmt.Sprintf("list lost, %d times in a row", t.lost))
-		b.at(now+b.spread(min(askAgain<<min(t.lost-1, 2), b.from.AskWithin)), b.out.AskList)
+	if kind == Lost {
+		b.table.lost++
+		b.out.Log(fmt.Sprintf("list lost, %d times in a row", b.table.lost))
+		b.at(now+b.spread(askAgain<<min(b.table.lost-1, 2)), b.out.AskList)
 		return
-	case Whole, Cached:
-		for _, h := range t.byID {
-			h.State = Gone
-		}
 	}
 	if kind != Cached {
-		t.lost = 0
-	}
-	for _, entry := range hosts {
-		h := cmp.Or(t.byID[entry.ID], &host{heldBy: map[int]heldBy{}})
-		t.byID[entry.ID], t.models[entry.Kind] = h, cmp.Or(t.models[entry.Kind], &model{})
-		if h.by == nil || entry.State == Ready && h.Started != entry.Started {
-			// A host that has started again is cold and without a record; what is out to it still counts.
-			h.health, h.sent = health{weight: 1, pace: average{1, priorPaces},
-				by: make([]breaker, len(b.profiles)), model: t.models[entry.Kind]}, nil
-		}
-		if h.Host = entry; h.sent == nil && t.isCold(h, now) {
-			h.sent = []time.Duration{}
-			b.out.Log(fmt.Sprintf("host %d starts cold", h.ID))
-		}
+		b.table.lost = 0
 	}
-	t.ready = nil
-	for _, g := range t.groups {
-		g.hosts = nil
-	}
-	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
-		h := t.byID[id]
-		i := slices.IndexFunc(t.groups, func(g *group) bool { return g.zone == h.Zone })
-		if h.State == Ready && i >= 0 {
-			h.group = t.groups[i]
-			t.ready, h.group.hosts = append(t.ready, h), append(h.group.hosts, h)
-		} else if h.State == Gone && h.own == 0 {
-			delete(t.byID, id)
+	// A host that is new or has started again is without a record; what is out to it still counts.
+	for _, h := range b.table.merge(kind, hosts) {
+		h.health = health{weight: 1, pace: average{1, priorPaces}, by: make([]breaker, len(b.profiles))}
+		if b.isCold(h) {
+			b.out.Log(fmt.Sprintf("host %d starts cold", h.ID))
 		}
 	}
 }
 
-// spread is a time by chance for a call of the list. All gateways in step would be late together, and the more
-// there are, the longer one source takes to answer them.
+// spread is a time by chance for a call of the list: in step all would be late together, the more so the more they are.
 func (b *Balancer) spread(usual time.Duration) time.Duration {
 	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
 	return time.Duration(b.chance.draw() * float64(all))
 }
 
-// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget. It is
-// judged from what warm hosts like it get through. A share of less than a hop is kept by chance: the host is let
-// into a draw as often as it is warm, so that all together send it that part of what a warm one gets.
+func (b *Balancer) isCold(h *host) bool { return h.Started > 0 && b.now-h.Started < b.cold.WarmUp }
+
+// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, judged from
+// what warm hosts like it get through. Where many share it, less than a hop each, that is kept by chance: the host
+// is let into a draw as often as it is warm, so that all together send it that part of what a warm one gets.
 func (b *Balancer) coldRoom(h *host) bool {
-	c := &b.table.cold
-	if !b.table.isCold(h, b.now) {
+	if !b.isCold(h) {
 		return true
 	}
-	for len(h.sent) > 0 && b.now-h.sent[0] >= c.TipAfter {
-		h.sent = h.sent[1:]
-	}
-	warm := c.From + (1-c.From)*float64(b.now-h.Started)/float64(c.WarmUp)
-	share := coldPart * warm * c.Multiple * h.model.through.value * c.TipAfter.Seconds() / float64(b.place.Gateways)
-	return len(h.sent) < max(1, int(share)) && (share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
+	warm := b.cold.From + (1-b.cold.From)*float64(b.now-h.Started)/float64(b.cold.WarmUp)
+	all := warm * b.cold.Multiple * h.model.through.value * b.cold.TipAfter.Seconds()
+	share := coldPart * all / float64(b.place.Gateways)
+	return h.sentSince(b.now-b.cold.TipAfter) < max(1, int(share)) &&
+		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
-// What gateways tell each other. Few tell all others what they have out. Many hardly meet a host twice, so for
-// each zone one of them draws for all: it is asked for a host for each transaction and told how each hop ended.
-// Messages grow with the transactions, not with the square of the gateways. Unanswered, a gateway draws itself.
-
-func (b *Balancer) many() bool { return b.from.Tells && b.place.Gateways > fewGateways }
+// Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice, so for each zone
+// one of them draws for all: it is asked for a host for each transaction and told how each hop ended. Messages then
+// grow with the transactions, not with the square of the gateways. Unanswered, a gateway draws itself.
 
 // drawer is the gateway that draws for a zone, -1 where each draws for itself.
 func (b *Balancer) drawer(g *group) int {
-	if !b.many() {
+	if !b.from.Tells || b.place.Gateways <= fewGateways {
 		return -1
 	}
 	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
 }
 
-// draws tells whether this gateway decides for a zone's hosts by what it sees itself.
-func (b *Balancer) draws(g *group) bool {
-	to := b.drawer(g)
-	return to < 0 || to == b.place.Me
-}
-
-// knows tells whether this gateway is told enough of a host: by all gateways, or by the one that draws there.
-func (b *Balancer) knows(h *host) bool {
-	to := b.drawer(h.group)
-	return to < 0 || to == b.place.Me || b.now-h.heldBy[to].at < askWait
-}
+// draws tells whether this gateway decides for a zone's hosts by what it sees and is told itself.
+func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
 func (b *Balancer) ask(t *tx) {
-	g := b.table.groups[0]
-	if b.now-max(g.heard, g.awaited) > staleAge {
-		g.awaited = b.now
+	if b.now-max(t.home.heard, t.home.awaited) > staleAge {
+		t.home.awaited = b.now
 	}
 	b.asking = append(b.asking, t)
-	b.out.Tell(b.drawer(g), []Held{{Kind: Asks, Profile: t.profile, Hops: g.index}})
+	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
 	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
 		if i := slices.Index(b.asking, t); i >= 0 {
 			b.asking = slices.Delete(b.asking, i, i+1)
-			b.place1(t)
+			b.start(t)
 		}
 	})
 }
 
-func (b *Balancer) answered(k Held) {
+func (b *Balancer) answered(from int, k Held) {
+	b.table.own().heard = b.now
 	h := b.table.byID[k.Host]
-	if h != nil && h.group != nil {
-		b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
+	if h != nil && h.State == Ready { // or a host drawn too late, or not taken, would count as out there
+		b.unsaid(h)
 	}
 	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == k.Profile })
 	if i < 0 {
@@ -234,27 +186,16 @@
 	t := b.asking[i]
 	b.asking = slices.Delete(b.asking, i, i+1)
 	switch {
-	case t.done:
 	case k.Host == 0:
-		b.shed++
-		b.finish(t)
-	case h != nil && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h):
-		b.hold(h, b.drawer(b.table.groups[0]), max(0, k.Hops-h.own))
+		b.giveUp(t)
+	case !t.done && h != nil && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h):
+		h.hold(from, max(0, k.Hops-h.own), b.now)
 		b.send(t, h, b.expect(h, t.profile))
 	default:
-		b.place1(t)
+		b.start(t)
 	}
 }
 
-// hold counts what another gateway has out at a host.
-func (b *Balancer) hold(h *host, from, hops int) {
-	if h.own+h.others == 0 {
-		h.waiting = b.now
-	}
-	h.others += hops - h.heldBy[from].hops
-	h.heldBy[from] = heldBy{hops, b.now}
-}
-
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
 	if !b.from.Tells || b.place.Gateways < 2 || h.unsaid {
@@ -268,16 +209,8 @@
 
 func (b *Balancer) tell() {
 	for _, g := range b.table.groups {
-		var held []Held
-		for _, h := range b.untold {
-			if h.group == g {
-				held = append(append(held, h.ends...), Held{Host: h.ID, Hops: h.own})
-				h.again = h.again || h.said != h.own // said once more, as messages may be lost
-				h.said, h.unsaid, h.ends = h.own, false, nil
-			}
-		}
-		if to := b.drawer(g); to != b.place.Me && held != nil {
-			b.out.Tell(to, held)
+		if held := news(b.untold, g); len(held) > 0 && b.drawer(g) != b.place.Me {
+			b.out.Tell(b.drawer(g), held)
 		}
 	}
 	b.untold = b.untold[:0]
@@ -286,41 +219,34 @@
 func (b *Balancer) Told(now time.Duration, from int, held []Held) {
 	b.now = now
 	for _, k := range held {
-		h := b.table.byID[k.Host]
+		h, known := b.table.byID[k.Host], k.Profile < len(b.profiles)
 		switch {
 		case k.Kind == Answer:
-			b.table.groups[0].heard = now
-			b.answered(k)
-		case k.Kind == Asks && k.Profile < len(b.profiles):
+			b.answered(from, k)
+		case k.Kind == Asks && known:
 			b.drawFor(from, k)
 		case h == nil || h.State != Ready:
+		case k.Kind == Ended && known:
+			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
 		case k.Kind == Sum:
 			h.pace.value = float64(k.Took) / b.work[0].value
-			b.hold(h, from, k.Hops)
-		case k.Kind == Ended && k.Profile < len(b.profiles):
-			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
+			h.hold(from, k.Hops, now)
 		case k.Kind == Out:
-			b.hold(h, from, k.Hops)
+			h.hold(from, k.Hops, now)
 		}
 	}
 }
 
-// drawFor draws a host for a transaction of another gateway, which counts as out there from now on.
+// drawFor draws a host for another gateway's transaction, which counts as out there until more is told.
 func (b *Balancer) drawFor(from int, k Held) {
-	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.groups[0]}
-	for _, g := range b.table.groups {
-		if g.index == k.Hops {
-			t.home = g
-		}
-	}
+	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
 	answer := Held{Kind: Answer, Profile: k.Profile}
-	if h, _ := b.choose1(t); h != nil {
+	if h, _ := b.admitted(t); h != nil {
 		answer.Host, answer.Hops = h.ID, h.own+h.others
-		if to := b.drawer(h.group); to != b.place.Me {
-			from1 := to // until its next sum
-			b.hold(h, from1, h.heldBy[from1].hops+1)
+		if !b.draws(h.group) {
+			h.hold(b.drawer(h.group), h.heldBy[b.drawer(h.group)].hops+1, b.now)
 		} else {
-			b.hold(h, from, h.heldBy[from].hops+1)
+			h.hold(from, h.heldBy[from].hops+1, b.now)
 		}
 		h.tried(k.Profile, b.now)
 	}
@@ -335,17 +261,15 @@
 func (b *Balancer) relay() {
 	b.at(b.now+relayTick, b.relay)
 	var sums []Held
-	for _, g := range b.table.groups {
-		for _, h := range g.hosts {
-			if b.drawer(g) == b.place.Me && !h.whole.open && !b.silent(h) {
-				sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others,
-					Took: time.Duration(h.pace.value * b.work[0].value)})
-			}
+	for _, h := range b.table.ready {
+		if b.draws(h.group) && !h.whole.open && !b.silent(h) {
+			took := time.Duration(h.pace.value * b.work[0].value)
+			sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others, Took: took})
 		}
 	}
 	for _, g := range b.table.groups {
-		if to := b.drawer(g); to != b.place.Me {
-			b.out.Tell(to, sums)
+		if !b.draws(g) {
+			b.out.Tell(b.drawer(g), sums)
 		}
 	}
 }
@@ -369,24 +293,14 @@
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
 		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+usual) {
-			k.bar(now, chance)
+			k.open, k.trying = true, false
+			k.cool = min(max(2*k.cool, coolFirst), coolMost)
+			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
 		}
 	}
 	return k.open != was
 }
 
-func (k *breaker) bar(now time.Duration, chance float64) {
-	k.open, k.trying = true, false
-	k.cool = min(max(2*k.cool, coolFirst), coolMost)
-	k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
-}
-
-func (b *Balancer) judge(h *host, c *breaker, of string, bad bool, errs float64) {
-	if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
-		b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of, c.open))
-	}
-}
-
 // tried notes a trial that is on its way; another is due only after the longest cooldown.
 func (h *host) tried(profile int, now time.Duration) {
 	for _, k := range []*breaker{&h.whole, &h.by[profile]} {
@@ -396,6 +310,8 @@
 	}
 }
 
+func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
+
 func (h *host) trialDue(profile int, now time.Duration) bool {
 	due := func(k *breaker) bool { return !k.open || now >= k.until }
 	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
@@ -405,8 +321,8 @@
 // passed over until it answers, long before its hops time out.
 func (b *Balancer) silent(h *host) bool {
 	out := h.own
-	if b.drawer(h.group) == b.place.Me {
-		out += h.others // it is told of all answers too
+	if b.relaying && b.draws(h.group) { // told of all answers there
+		out += h.others
 	}
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
@@ -425,11 +341,11 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	h.report(r.Load, b.now)
-	crowd, work, took := h.crowded(load), &b.work[profile], float64(r.Took)
+	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
 	case Committed:
-		h.paced, h.waiting, h.fresh, work.at = b.now, b.now, true, b.now
+		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
 		work.add(took/crowd/h.pace.value, workStep)
 		h.learnPace(took / crowd / work.value)
@@ -452,8 +368,8 @@
 	for i, c := range []*breaker{&h.whole, &h.by[profile]} {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else {
-			b.judge(h, c, of[i], bad, errs)
+		} else if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
+			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
 }
@@ -467,41 +383,41 @@
 }
 
 // settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
-// as cold ones are, gets no hops that would show it well again: without any, its pace is forgotten.
+// as cold ones are, gets no hops that would show it well again: without any, its pace goes to that of its like.
 func (b *Balancer) settlePaces() {
 	mean := average{1, 0}
-	for _, h := range b.table.ready {
-		h.model.through.n = min(h.model.through.n, 0)
+	for _, m := range b.table.models {
+		m.through.n = 0
 	}
 	for _, h := range b.table.ready {
-		if b.draws(h.group) {
+		if b.draws(h.group) { // others' paces are told
 			mean.add(h.pace.value, 0)
 		}
-		if h.lat.n > 0 && !b.table.isCold(h, b.now) { // as if one more were out
-			h.model.through.add(float64(h.own+h.others+1)*float64(second)/h.lat.value, 0)
+		if h.lat.n > 0 && !b.isCold(h) { // as if one more were out
+			h.model.through.add(float64(h.own+h.others+1)*float64(time.Second)/h.lat.value, 0)
 		}
 	}
 	for i := range b.work {
-		w, guess := &b.work[i], firstGuess*float64(b.profiles[i].Goal)
+		w := &b.work[i]
 		w.value *= mean.value
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
 		if b.from.Tells || w.value < b.free[i] {
 			b.free[i] = w.value
 		} else if w.n*workStep < 1 { // a day may begin in a jam
-			b.free[i] = min(w.value, guess)
+			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
 		}
 	}
+	for _, m := range b.table.models {
+		m.pace.value = max(m.pace.value/mean.value, paceLeast)
+	}
 	for _, h := range b.table.ready {
 		if !b.draws(h.group) {
-			continue // its pace is told
+			continue
 		}
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.model.pace.n > 0 {
-			h.pace.value += forget * (max(h.model.pace.value, paceLeast) - h.pace.value)
+			h.pace.value += forget * (h.model.pace.value - h.pace.value)
 		}
 	}
-	for _, m := range b.table.models {
-		m.pace.value /= mean.value
-	}
 }
 
 // reweigh is the decision record's change of weights in a group. Their mean stays 1, where new hosts start.
@@ -528,9 +444,18 @@
 
 // Group choice and draw.
 
-// expect is the time that a hop is likely to take: the profile's, by the host's pace, by the crowd at it.
+// crowd is how much longer a hop takes among so many at a host, itself included: as they share its slots, where
+// reports of its kind show them. Else hosts with one slot and with several are met halfway.
+func (h *host) crowd(hops float64) float64 {
+	if h.model.places.value == 0 {
+		return (hops + 1) / 2
+	}
+	return max(1, hops/max(1, h.model.places.value))
+}
+
+// expect is the time that a further hop is likely to take: the profile's, by the host's pace, by the crowd at it.
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * h.crowd()
+	return b.work[profile].value * h.pace.value * h.crowd(h.out()+1)
 }
 
 // choose takes the own group unless that is near full, else the group that promises most: a further one the
@@ -541,13 +466,7 @@
 	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
 	for barred := false; ; barred = true {
 		most := b.patience(t.profile)
-		for i := -1; i < len(b.table.groups); i++ {
-			g := t.home
-			if i >= 0 {
-				if g = b.table.groups[i]; g == t.home {
-					continue
-				}
-			}
+		for _, g := range t.home.order {
 			h, e, busy := b.draw(g, t, barred, min(near, most))
 			if h == nil || g != t.home && e > most {
 				continue
@@ -556,7 +475,7 @@
 			if g != t.home {
 				most = e
 			} else if h.trialDue(t.profile, b.now) ||
-				e <= most && (h.crowd() <= crowdFree || e <= near && busy < busyFull) {
+				e <= most && (h.crowd(h.out()+1) <= crowdFree || e <= near && busy < busyFull) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
@@ -574,12 +493,10 @@
 	var second, best *host
 	var mean, busy average
 	var e2, least, first, next float64
-	few := b.place.Gateways <= fewGateways || b.drawer(b.table.groups[0]) == b.place.Me || b.relaying
+	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts {
-		if b.relaying && !b.knows(h) {
-			continue
-		}
-		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) {
+		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
+			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
 		}
 		x := b.expect(h, t.profile)
@@ -604,23 +521,35 @@
 		} else if second == nil || lot > next {
 			second, e2, next = h, x, lot
 		}
-		if few && (best == nil || x < least) {
+		if best == nil || x < least {
 			best, least = h, x
 		}
 	}
-	if e > slowFactor*mean.value && e2 < e {
-		pick, e = second, e2
-	}
-	if !few && t.key == 0 && second != nil && e2 < e { // all of many taking the best at once would bury it
-		pick, e = second, e2
-	} else if few && e > near {
+	switch { // of many, all that take the best at once would bury it
+	case whole && e > near:
 		pick, e = best, least
+	case second != nil && e2 < e && (e > slowFactor*mean.value || !whole && t.key == 0):
+		pick, e = second, e2
 	}
 	return pick, e, busy.value
 }
 
 // Admission.
 
+func newAdmission(tenants []Tenant, misses, told bool) admission {
+	a := admission{part: admitMost, crowd: crowdUntold}
+	if misses {
+		a.part = admitTail
+	}
+	if told {
+		a.crowd = crowdMost
+	}
+	for _, t := range tenants {
+		a.tenants = append(a.tenants, tenant{quota: t.Quota})
+	}
+	return a
+}
+
 // over tells whether a transaction goes beyond its tenant's share.
 func (a *admission) over(i int) bool {
 	t := &a.tenants[i]
@@ -629,13 +558,13 @@
 	return t.greedy && t.tokens < 0
 }
 
-// refill gives each tenant the tokens of a further second. Its portion is an even part of its quota,
+// refill gives each tenant the tokens of a second. Its portion is an even part of its quota,
 // or what the middle tenant shows, so that none at a busy gateway is taken for greedy.
-func (a *admission) refill(gateways, seconds float64) {
+func (a *admission) refill(gateways float64) {
 	var parts []float64
 	for i := range a.tenants {
 		t := &a.tenants[i]
-		t.rate.add(t.taken/seconds, paceStep)
+		t.rate.add(t.taken, paceStep)
 		t.taken = 0
 		parts = append(parts, t.rate.value/t.quota)
 	}
@@ -644,7 +573,7 @@
 		t := &a.tenants[i]
 		portion := t.quota * max(1/gateways, parts[len(parts)/2])
 		t.greedy = t.rate.value > greedyFrom*portion
-		grant := portion * overSlack * seconds
+		grant := portion * overSlack
 		t.tokens = min(max(t.tokens, 0)+grant, 2*grant)
 	}
 }
@@ -694,7 +623,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.now = now
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.groups[0], stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
@@ -702,39 +631,41 @@
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
-	if to := b.drawer(b.table.groups[0]); to >= 0 && to != b.place.Me {
-		b.ask(t)
+	if b.draws(t.home) {
+		b.start(t)
 	} else {
-		b.place1(t)
+		b.ask(t)
 	}
 }
 
-// choose1 is the host for a transaction that has arrived, nil where it is better rolled back.
-func (b *Balancer) choose1(t *tx) (*host, float64) {
+// admitted is the host for a transaction that has arrived, nil where it is better rolled back. A host long without
+// an answer is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any
+// jam, so that it does so by chance.
+func (b *Balancer) admitted(t *tx) (*host, float64) {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
-	if t.over && h != nil && !h.calm(b.now) {
-		most = min(most, overCrowd*b.free[t.profile])
+	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
+		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
-	// A host long without an answer is worth a hop, to see whether its estimate is out of date. Every idle one
-	// would be too many: to one of many gateways most hosts are idle in any jam.
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
 		return nil, 0
 	}
 	return h, e
 }
 
-func (b *Balancer) place1(t *tx) {
-	if t.done {
-		return
+func (b *Balancer) start(t *tx) {
+	if h, e := b.admitted(t); h == nil {
+		b.giveUp(t)
+	} else if !t.done {
+		b.send(t, h, e)
 	}
-	h, e := b.choose1(t)
-	if h == nil {
+}
+
+func (b *Balancer) giveUp(t *tx) {
+	if !t.done {
 		b.shed++
 		b.finish(t)
-		return
 	}
-	b.send(t, h, e)
 }
 
 func (b *Balancer) send(t *tx, h *host, expected float64) {
@@ -743,7 +674,7 @@
 	if h.Zone != b.place.Zone {
 		b.spilt++
 	}
-	if b.table.isCold(h, b.now) {
+	if b.isCold(h) {
 		h.sent = append(h.sent, b.now)
 	}
 	if h.own++; h.own == 1 {
@@ -751,7 +682,7 @@
 	}
 	b.unsaid(h)
 	t.out++
-	t.hops = append(t.hops, hop{host: h, at: b.now, load: float64(h.own + h.others), then: func() {
+	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.out(), then: func() {
 		if t.out == 0 && !b.again(t, math.Inf(1)) {
 			b.finish(t)
 		}
@@ -810,8 +741,8 @@
 	t.out--
 	k.host.own--
 	b.unsaid(k.host)
-	if b.many() && b.drawer(k.host.group) != b.place.Me {
-		k.host.ends = append(k.host.ends, Held{Kind: Ended, Host: k.host.ID, Hops: int(k.load), Profile: t.profile, End: r.End, Took: r.Took})
+	if !b.draws(k.host.group) {
+		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
 	}
 	b.learn(k.host, k.load, t.profile, r)
 	if t.done || over {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -315,10 +315,10 @@
 	fmt.Println(s.now, s.hopsTo)
 	// Output:
 	// 2.2s map[1:20]
-	// 9.19s map[1:120 2:3]
-	// 15.19s map[1:205 2:18]
-	// 21.19s map[1:253 2:70]
-	// 27.19s map[1:294 2:129]
+	// 8.86s map[1:120 2:2]
+	// 14.86s map[1:168 2:54]
+	// 20.86s map[1:213 2:109]
+	// 26.86s map[1:260 2:162]
 }
 
 // A profile that is turned away as full while others are answered is kept off that host.
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,6 +17,7 @@
 	hops     HopRule
 	from     Sources
 	price    Price
+	cold     ColdRule
 	table    table
 	admit    admission
 	txs      map[TxID]*tx
@@ -24,7 +26,7 @@
 	due    dueTimes
 	chance chance
 
-	work    []heard   // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
 	free    []float64 // by profile: the least that has been of late, as when hosts are free
 	errs    average   // share of errors at all hosts
 	revenue average   // of the transactions taken
@@ -40,30 +42,18 @@
 func New(out Doer, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
 	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
+		cold:   cold,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]heard, len(profiles)), free: make([]float64, len(profiles)),
+		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
-		admit: admission{part: admitMost, crowd: crowdUntold},
-		table: table{byID: map[HostID]*host{}, models: map[string]*model{}, cold: cold, gateways: place.Gateways}}
-	own := max(0, slices.Index(place.Zones, place.Zone))
-	for i := range place.Zones {
-		at := (own + i) % len(place.Zones)
-		b.table.groups = append(b.table.groups, &group{zone: place.Zones[at], index: at})
-	}
-	for _, t := range tenants {
-		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
-	}
-	if price.Misses {
-		b.admit.part = admitTail
-	}
-	if from.Tells {
-		b.admit.crowd = crowdMost
-	}
+		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
+	b.table.addGroups(place)
+	b.admit = newAdmission(tenants, price.Misses, from.Tells)
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
 		b.free[i] = b.work[i].value
 	}
-	b.at(now+time.Duration(b.chance.draw()*float64(second)), b.periodic)
+	b.at(now+time.Duration(b.chance.draw()*float64(time.Second)), b.periodic)
 	if from.AskWithin > 0 {
 		b.at(now+b.spread(askAgain), out.AskList)
 	}
@@ -129,13 +119,79 @@
 }
 
 type table struct {
-	byID     map[HostID]*host
-	models   map[string]*model
-	ready    []*host  // by id
-	groups   []*group // the own one first
-	cold     ColdRule
-	gateways int
-	lost     int // calls for the list lost in a row
+	byID   map[HostID]*host
+	models map[string]*model
+	ready  []*host  // by id
+	groups []*group // the own one first
+	lost   int      // calls for the list lost in a row
+}
+
+func (t *table) addGroups(p Place) {
+	zones := p.Zones
+	if len(zones) == 0 {
+		zones = []string{p.Zone}
+	}
+	own := max(0, slices.Index(zones, p.Zone))
+	for i := range zones {
+		at := (own + i) % len(zones)
+		t.groups = append(t.groups, &group{zone: zones[at], index: at})
+	}
+	for i, g := range t.groups {
+		g.order = append(append(append(g.order, g), t.groups[:i]...), t.groups[i+1:]...)
+	}
+}
+
+func (t *table) own() *group { return t.groups[0] }
+
+// group is the one of that index among the zones, the own one where there is none.
+func (t *table) group(index int) *group {
+	for _, g := range t.groups {
+		if g.index == index {
+			return g
+		}
+	}
+	return t.own()
+}
+
+// merge takes a list in and returns the hosts that are new or have started again.
+func (t *table) merge(kind ListKind, hosts []Host) (fresh []*host) {
+	if kind != Changes {
+		for _, h := range t.byID {
+			h.State = Gone
+		}
+	}
+	for _, entry := range hosts {
+		h := t.byID[entry.ID]
+		if h == nil || entry.State == Ready && h.Started != entry.Started {
+			if h == nil {
+				h = &host{heldBy: map[int]heldBy{}}
+				t.byID[entry.ID] = h
+			}
+			fresh = append(fresh, h)
+		}
+		if t.models[entry.Kind] == nil {
+			t.models[entry.Kind] = &model{}
+		}
+		h.Host, h.model = entry, t.models[entry.Kind]
+	}
+	t.ready = t.ready[:0]
+	for _, g := range t.groups {
+		g.hosts = g.hosts[:0]
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
+		h := t.byID[id]
+		i := slices.IndexFunc(t.groups, func(g *group) bool { return g.zone == h.Zone })
+		if i < 0 {
+			h.State = Gone // in no zone that is known
+		}
+		if h.State == Ready {
+			h.group = t.groups[i]
+			t.ready, h.group.hosts = append(t.ready, h), append(h.group.hosts, h)
+		} else if h.State == Gone && h.own == 0 {
+			delete(t.byID, id)
+		}
+	}
+	return fresh
 }
 
 // model is what like hosts show.
@@ -150,30 +206,22 @@
 	zone    string
 	index   int // among the zones
 	hosts   []*host
-	skip    int           // collectors given up as silent
-	heard   time.Duration // when the collector last told
+	order   []*group      // this one and then the others
+	skip    int           // those that drew here and were given up as silent
+	heard   time.Duration // when the one that draws here last answered
 	awaited time.Duration // since when it is waited for
 }
 
-// heard is an average with the time of its last sample.
-type heard struct {
-	average
-	at time.Duration
-}
-
 type heldBy struct {
 	hops int
 	at   time.Duration
 }
 
-func (t *table) isCold(h *host, now time.Duration) bool {
-	return h.Started > 0 && now-h.Started < t.cold.WarmUp
-}
-
 type host struct {
 	Host
 	own    int // hops of this gateway out
 	group  *group
+	model  *model
 	others int            // hops of the other gateways out, as told
 	heldBy map[int]heldBy // the same by the gateway that told
 	said   int            // own hops out as last told
@@ -181,17 +229,16 @@
 	unsaid bool           // to be told of soon
 	ends   []Held         // how own hops ended, not yet told
 	health
-	sent []time.Duration // hops within the last TipAfter, nil unless it started cold
+	sent []time.Duration // hops within the last TipAfter while cold
 }
 
 type health struct {
 	weight  float64
-	fresh   bool    // an answer since the last second
-	bad     bool    // a failure, full answer or time-out since the last slow tick
-	pace    average // times the usual time of a profile, with a core free
-	lat     average // time of an answer, waits included
-	busy    float64 // reported utilisation
-	model   *model
+	fresh   bool          // an answer since the last second
+	bad     bool          // a failure, full answer or time-out since the last slow tick
+	pace    average       // times the usual time of a profile, with a core free
+	lat     average       // time of an answer, waits included
+	busy    float64       // reported utilisation
 	busyAt  time.Duration // when that came, 0 for never
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, if any are
@@ -199,23 +246,46 @@
 	by      []breaker // by profile
 }
 
-func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
+// out is all hops there, as far as known.
+func (h *host) out() float64 { return float64(h.own + h.others) }
+
+// hold counts what another gateway has out.
+func (h *host) hold(from, hops int, now time.Duration) {
+	if h.own+h.others == 0 {
+		h.waiting = now
+	}
+	h.others += hops - h.heldBy[from].hops
+	h.heldBy[from] = heldBy{hops, now}
+}
 
-// crowded is how much longer a hop takes among so many at a host, itself included: as they share its slots, where
-// reports of its kind show them. Else hosts with one slot and with several are met halfway.
-func (h *host) crowded(hops float64) float64 {
-	if h.model.places.value == 0 {
-		return (hops + 1) / 2
+// expire forgets what was told before since.
+func (h *host) expire(since time.Duration) {
+	for from, k := range h.heldBy { // in any order: it is a sum
+		if k.at < since {
+			h.others -= k.hops
+			delete(h.heldBy, from)
+		}
 	}
-	return max(1, hops/max(1, h.model.places.value))
 }
 
-// crowd is the same with one more.
-func (h *host) crowd() float64 { return h.crowded(float64(h.own + h.others + 1)) }
+// sentSince is how many hops were sent to it since then, as it was cold.
+func (h *host) sentSince(since time.Duration) int {
+	for len(h.sent) > 0 && h.sent[0] <= since {
+		h.sent = h.sent[1:]
+	}
+	return len(h.sent)
+}
 
-// calm tells whether a host has lately reported that it has room to spare.
-func (h *host) calm(now time.Duration) bool {
-	return h.busyAt > 0 && now-h.busyAt < staleAge && h.busy < busyCalm
+// news is what is to be told of the hosts of a group.
+func news(untold []*host, g *group) (held []Held) {
+	for _, h := range untold {
+		if h.group == g {
+			held = append(append(held, h.ends...), Held{Host: h.ID, Hops: h.own})
+			h.again = h.again || h.said != h.own
+			h.said, h.unsaid, h.ends = h.own, false, nil
+		}
+	}
+	return held
 }
 
 type breaker struct {
