--- a/logic/logic.go
+++ b/logic/logic.go
@@ -525,12 +525,12 @@
 			best, least = h, x
 		}
 	}
-	switch { // of many, all that take the best at once would bury it
-	case whole && e > near:
-		pick, e = best, least
-	case second != nil && e2 < e && (e > slowFactor*mean.value || !whole && t.key == 0):
+	if second != nil && e2 < e && (e > slowFactor*mean.value || !whole && t.key == 0) {
 		pick, e = second, e2
 	}
+	if whole && e > near { // of many, all that take the best at once would bury it
+		pick, e = best, least
+	}
 	return pick, e, busy.value
 }
 
