--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,20 +56,6 @@
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
-// at has something done at its time; the one timer is set for the first of these.
-func (b *Balancer) at(when time.Duration, do func()) {
-	b.due.add(when, do)
-	b.due.arm(b.now, b.out.SetTimer)
-}
-
-func (b *Balancer) Timer(now time.Duration) {
-	b.now = now
-	for do := b.due.next(now); do != nil; do = b.due.next(now) {
-		do()
-	}
-	b.due.arm(now, b.out.SetTimer)
-}
-
 // periodic is the work of each second, the decision record's interval between weight changes.
 func (b *Balancer) periodic() {
 	b.at(b.now+time.Second, b.periodic)
@@ -138,8 +124,8 @@
 		return true
 	}
 	warm := b.cold.From + (1-b.cold.From)*float64(b.now-h.Started)/float64(b.cold.WarmUp)
-	all := warm * b.cold.Multiple * h.model.through.value * b.cold.TipAfter.Seconds()
-	share := coldPart * all / float64(b.place.Gateways)
+	through := max(1, h.model.places.value) / (b.work[0].value * max(h.model.pace.value, paceLeast))
+	share := coldPart * warm * b.cold.Multiple * through * float64(b.cold.TipAfter) / float64(b.place.Gateways)
 	return h.sentSince(b.now-b.cold.TipAfter) < max(1, int(share)) &&
 		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
@@ -173,22 +159,16 @@
 	})
 }
 
-func (b *Balancer) answered(from int, k Held) {
+func (b *Balancer) answered(from int, k Held, h *host) {
 	b.table.own().heard = b.now
-	h := b.table.byID[k.Host]
-	if h != nil && h.State == Ready { // or a host drawn too late, or not taken, would count as out there
-		b.unsaid(h)
+	if h != nil {
+		b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
 	}
-	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == k.Profile })
-	if i < 0 {
-		return
-	}
-	t := b.asking[i]
-	b.asking = slices.Delete(b.asking, i, i+1)
-	switch {
+	switch t := b.asked(k.Profile); {
+	case t == nil:
 	case k.Host == 0:
 		b.giveUp(t)
-	case !t.done && h != nil && h.State == Ready && t.fits(h, b.now) && b.coldRoom(h):
+	case !t.done && h != nil && t.fits(h, b.now) && b.coldRoom(h):
 		h.hold(from, max(0, k.Hops-h.own), b.now)
 		b.send(t, h, b.expect(h, t.profile))
 	default:
@@ -198,40 +178,42 @@
 
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
-	if !b.from.Tells || b.place.Gateways < 2 || h.unsaid {
+	if !b.from.Tells || h.unsaid {
 		return
 	}
 	h.unsaid = true
 	if b.untold = append(b.untold, h); len(b.untold) == 1 {
-		b.at(b.now+tick, b.tell)
-	}
-}
-
-func (b *Balancer) tell() {
-	for _, g := range b.table.groups {
-		if held := news(b.untold, g); len(held) > 0 && b.drawer(g) != b.place.Me {
-			b.out.Tell(b.drawer(g), held)
-		}
+		b.at(b.now+tick, func() {
+			for _, g := range b.table.groups {
+				if held := news(b.untold, g); len(held) > 0 && b.drawer(g) != b.place.Me {
+					b.out.Tell(b.drawer(g), held)
+				}
+			}
+			b.untold = b.untold[:0]
+		})
 	}
-	b.untold = b.untold[:0]
 }
 
 func (b *Balancer) Told(now time.Duration, from int, held []Held) {
 	b.now = now
 	for _, k := range held {
-		h, known := b.table.byID[k.Host], k.Profile < len(b.profiles)
+		h := b.table.byID[k.Host]
+		if h != nil && h.State != Ready {
+			h = nil
+		}
 		switch {
+		case k.Profile >= len(b.profiles):
 		case k.Kind == Answer:
-			b.answered(from, k)
-		case k.Kind == Asks && known:
+			b.answered(from, k, h)
+		case k.Kind == Asks:
 			b.drawFor(from, k)
-		case h == nil || h.State != Ready:
-		case k.Kind == Ended && known:
+		case h == nil:
+		case k.Kind == Ended:
 			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
-		case k.Kind == Sum:
-			h.pace.value = float64(k.Took) / b.work[0].value
-			h.hold(from, k.Hops, now)
-		case k.Kind == Out:
+		default:
+			if k.Kind == Sum {
+				h.pace.value = float64(k.Took) / b.work[0].value
+			}
 			h.hold(from, k.Hops, now)
 		}
 	}
@@ -243,11 +225,11 @@
 	answer := Held{Kind: Answer, Profile: k.Profile}
 	if h, _ := b.admitted(t); h != nil {
 		answer.Host, answer.Hops = h.ID, h.own+h.others
+		by := from
 		if !b.draws(h.group) {
-			h.hold(b.drawer(h.group), h.heldBy[b.drawer(h.group)].hops+1, b.now)
-		} else {
-			h.hold(from, h.heldBy[from].hops+1, b.now)
+			by = b.drawer(h.group)
 		}
+		h.hold(by, h.heldBy[by].hops+1, b.now)
 		h.tried(k.Profile, b.now)
 	}
 	b.out.Tell(from, []Held{answer})
@@ -286,9 +268,6 @@
 	case !bad:
 		k.row, k.open, k.trying, k.cool = 0, false, false, 0
 		k.share *= 1 - shareStep
-		if was {
-			k.share = min(k.share, shareToOpen/2) // the next error opens it again
-		}
 	default:
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
@@ -303,7 +282,7 @@
 
 // tried notes a trial that is on its way; another is due only after the longest cooldown.
 func (h *host) tried(profile int, now time.Duration) {
-	for _, k := range []*breaker{&h.whole, &h.by[profile]} {
+	for _, k := range h.breakers(profile) {
 		if k.open && now >= k.until {
 			k.trying, k.until = true, now+coolMost
 		}
@@ -365,7 +344,7 @@
 	}
 	b.errs.add(errs, workStep)
 	of := [...]string{"all profiles", b.profiles[profile].Name}
-	for i, c := range []*breaker{&h.whole, &h.by[profile]} {
+	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
 		} else if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
@@ -386,16 +365,10 @@
 // as cold ones are, gets no hops that would show it well again: without any, its pace goes to that of its like.
 func (b *Balancer) settlePaces() {
 	mean := average{1, 0}
-	for _, m := range b.table.models {
-		m.through.n = 0
-	}
 	for _, h := range b.table.ready {
 		if b.draws(h.group) { // others' paces are told
 			mean.add(h.pace.value, 0)
 		}
-		if h.lat.n > 0 && !b.isCold(h) { // as if one more were out
-			h.model.through.add(float64(h.own+h.others+1)*float64(time.Second)/h.lat.value, 0)
-		}
 	}
 	for i := range b.work {
 		w := &b.work[i]
--- a/logic/state.go
+++ b/logic/state.go
@@ -60,6 +60,17 @@
 	return b
 }
 
+// asked takes out the first transaction of a profile that waits for a host drawn by another gateway.
+func (b *Balancer) asked(profile int) *tx {
+	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == profile })
+	if i < 0 {
+		return nil
+	}
+	t := b.asking[i]
+	b.asking = slices.Delete(b.asking, i, i+1)
+	return t
+}
+
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
@@ -108,6 +119,20 @@
 	}
 }
 
+// at has something done at its time; the one timer is set for the first of these.
+func (b *Balancer) at(when time.Duration, do func()) {
+	b.due.add(when, do)
+	b.due.arm(b.now, b.out.SetTimer)
+}
+
+func (b *Balancer) Timer(now time.Duration) {
+	b.now = now
+	for do := b.due.next(now); do != nil; do = b.due.next(now) {
+		do()
+	}
+	b.due.arm(now, b.out.SetTimer)
+}
+
 // chance gives the same draws for the same seed.
 type chance struct{ seed, draws uint32 }
 
@@ -196,9 +221,8 @@
 
 // model is what like hosts show.
 type model struct {
-	places  average // hops in work at a full host, where reports show it
-	pace    average // times the usual time of a profile
-	through average // hops a second that a warm host gets through
+	places average // hops in work at a full host, where reports show it
+	pace   average // times the usual time of a profile
 }
 
 // group is the hosts of one zone.
@@ -246,6 +270,8 @@
 	by      []breaker // by profile
 }
 
+func (h *host) breakers(profile int) []*breaker { return []*breaker{&h.whole, &h.by[profile]} }
+
 // out is all hops there, as far as known.
 func (h *host) out() float64 { return float64(h.own + h.others) }
 
