--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,10 @@
 package logic
 
-// How it is called: a protocol makes a Balancer with New and calls it through Gateway; it answers through Doer.
-// Both are defined in types.go; state.go stores what is remembered. No input, output, clock or goroutine in here.
-// The sections: time, host table, telling, health, group choice and draw, admission, path.
+// A protocol makes a Balancer with New and calls it through Gateway; it answers through Doer. Both are in types.go,
+// what is stored in state.go. No input, output, clock or goroutine here.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -25,8 +25,7 @@
 	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
 	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
 	slowFactor  = 1.5                    // latency over the median that cuts it, ditto; well over the mean
-	raisePart   = 0.1                    // part of the mean weight gained in a good second, ditto
-	weightLeast = 0.1                    // of the mean weight, ditto
+	weightStep  = 0.1                    // of the mean weight: gained in a good second, and the least, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
 	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
@@ -35,15 +34,13 @@
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
-	copyAfter   = 2.0                    // expected times after which a second copy is sent
 	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
-	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
+	overdue     = 2.0                    // expected times after which a second copy goes out and a time-out counts
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
-	fullMost    = 0.9                    // of the goal: the same at most, as twice a crossing's price is added
 	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
 	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
-	admitMost   = 0.9                    // of the goal: expected time over which a transaction is rolled back
+	admitMost   = 0.9                    // of the goal: time over which a transaction is rolled back, a group full
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
@@ -56,7 +53,7 @@
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
-// periodic is the work of each second, the decision record's interval between weight changes.
+// periodic is the work of each second, as often as the decision record changes weights.
 func (b *Balancer) periodic() {
 	b.at(b.now+time.Second, b.periodic)
 	for _, h := range b.table.ready {
@@ -108,7 +105,7 @@
 	}
 }
 
-// spread is a time by chance for a call of the list: in step all would be late together, the more so the more they are.
+// spread is a time by chance for a call of the list: in step all would be late together.
 func (b *Balancer) spread(usual time.Duration) time.Duration {
 	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
 	return time.Duration(b.chance.draw() * float64(all))
@@ -116,9 +113,8 @@
 
 func (b *Balancer) isCold(h *host) bool { return h.Started > 0 && b.now-h.Started < b.cold.WarmUp }
 
-// coldRoom tells whether a further hop stays within this gateway's even share of a cold host's budget, judged from
-// what warm hosts like it get through. Where many share it, less than a hop each, that is kept by chance: the host
-// is let into a draw as often as it is warm, so that all together send it that part of what a warm one gets.
+// coldRoom keeps this gateway's even share of a cold host's budget, judged from what warm hosts like it get through.
+// Of many, each has less than a hop: the host is let into a draw by chance, as often as it is warm.
 func (b *Balancer) coldRoom(h *host) bool {
 	if !b.isCold(h) {
 		return true
@@ -130,9 +126,8 @@
 		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
-// Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice, so for each zone
-// one of them draws for all: it is asked for a host for each transaction and told how each hop ended. Messages then
-// grow with the transactions, not with the square of the gateways. Unanswered, a gateway draws itself.
+// Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice, so one for each
+// zone draws for all: asked for a host for each transaction, and told how each hop ended. Unanswered, each draws.
 
 // drawer is the gateway that draws for a zone, -1 where each draws for itself.
 func (b *Balancer) drawer(g *group) int {
@@ -142,7 +137,6 @@
 	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
 }
 
-// draws tells whether this gateway decides for a zone's hosts by what it sees and is told itself.
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
 func (b *Balancer) ask(t *tx) {
@@ -166,9 +160,11 @@
 	}
 	switch t := b.asked(k.Profile); {
 	case t == nil:
+	case t.done:
 	case k.Host == 0:
-		b.giveUp(t)
-	case !t.done && h != nil && t.fits(h, b.now) && b.coldRoom(h):
+		b.shed++
+		b.finish(t)
+	case h != nil && t.fits(h, b.now) && b.coldRoom(h):
 		h.hold(from, max(0, k.Hops-h.own), b.now)
 		b.send(t, h, b.expect(h, t.profile))
 	default:
@@ -176,22 +172,13 @@
 	}
 }
 
-// unsaid has a host told of soon.
-func (b *Balancer) unsaid(h *host) {
-	if !b.from.Tells || h.unsaid {
-		return
-	}
-	h.unsaid = true
-	if b.untold = append(b.untold, h); len(b.untold) == 1 {
-		b.at(b.now+tick, func() {
-			for _, g := range b.table.groups {
-				if held := news(b.untold, g); len(held) > 0 && b.drawer(g) != b.place.Me {
-					b.out.Tell(b.drawer(g), held)
-				}
-			}
-			b.untold = b.untold[:0]
-		})
+func (b *Balancer) tell() {
+	for _, g := range b.table.groups {
+		if held := news(b.untold, g); len(held) > 0 && b.drawer(g) != b.place.Me {
+			b.out.Tell(b.drawer(g), held)
+		}
 	}
+	b.untold = b.untold[:0]
 }
 
 func (b *Balancer) Told(now time.Duration, from int, held []Held) {
@@ -219,7 +206,7 @@
 	}
 }
 
-// drawFor draws a host for another gateway's transaction, which counts as out there until more is told.
+// drawFor draws a host for another gateway; the hop counts as out until more is told.
 func (b *Balancer) drawFor(from int, k Held) {
 	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
 	answer := Held{Kind: Answer, Profile: k.Profile}
@@ -230,7 +217,6 @@
 			by = b.drawer(h.group)
 		}
 		h.hold(by, h.heldBy[by].hops+1, b.now)
-		h.tried(k.Profile, b.now)
 	}
 	b.out.Tell(from, []Held{answer})
 	if !b.relaying {
@@ -258,9 +244,8 @@
 
 // Health: breakers, latency and weight of a host.
 
-// note takes an outcome and tells whether the breaker changed. Only a trial's answer closes it, as late
-// answers to hops sent before prove nothing. A host that errs on half of its hops may never err five times in
-// a row, so the share of errors counts too.
+// note tells whether the breaker changed. Only a trial's answer closes it, as late answers prove nothing. One that
+// errs on half of its hops may never err five times in a row, so the share of errors counts too.
 func (k *breaker) note(bad bool, errs, usual float64, now time.Duration, chance float64) bool {
 	was := k.open
 	switch {
@@ -280,24 +265,9 @@
 	return k.open != was
 }
 
-// tried notes a trial that is on its way; another is due only after the longest cooldown.
-func (h *host) tried(profile int, now time.Duration) {
-	for _, k := range h.breakers(profile) {
-		if k.open && now >= k.until {
-			k.trying, k.until = true, now+coolMost
-		}
-	}
-}
-
 func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
 
-func (h *host) trialDue(profile int, now time.Duration) bool {
-	due := func(k *breaker) bool { return !k.open || now >= k.until }
-	return !h.closed(profile) && due(&h.whole) && due(&h.by[profile])
-}
-
-// silent tells whether a host takes work and answers nothing, for far longer than its hops out explain. It is
-// passed over until it answers, long before its hops time out.
+// silent tells whether a host answers nothing for far longer than its hops out explain; it is passed over meanwhile.
 func (b *Balancer) silent(h *host) bool {
 	out := h.own
 	if b.relaying && b.draws(h.group) { // told of all answers there
@@ -306,17 +276,6 @@
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-func (h *host) report(l Load, now time.Duration) {
-	if l.Busy >= 0 {
-		h.busy, h.busyAt = l.Busy, now
-	}
-	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
-		p.add(max(1, l.Held-l.Waiting), paceStep)
-	} else if l.Waiting == 0 {
-		p.value = max(p.value, l.Held)
-	}
-}
-
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	h.report(r.Load, b.now)
@@ -329,8 +288,8 @@
 		work.add(took/crowd/h.pace.value, workStep)
 		h.learnPace(took / crowd / work.value)
 	case TimedOut, CalledOff:
-		// Where all are slow hops time out everywhere; only one far over a usual host's time speaks of a hang. So
-		// does one called off for its second copy, or a host that hangs would be cleared each time by that.
+		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang, as does one
+		// called off for its second copy.
 		bad = took > overdue*work.value*crowd
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
@@ -353,21 +312,21 @@
 	}
 }
 
-// learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast, which brings
-// it the next burst.
+// learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast for the next.
 func (h *host) learnPace(p float64) {
 	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
 	h.pace.value = max(h.pace.value, paceLeast)
 }
 
-// settlePaces keeps paces around 1, so that a profile's work is its time at a usual host. A host seen slow,
-// as cold ones are, gets no hops that would show it well again: without any, its pace goes to that of its like.
+// settlePaces keeps paces around 1. A host seen slow, as cold ones are, gets no hops that would show it well again:
+// its pace goes to that of its like.
 func (b *Balancer) settlePaces() {
-	mean := average{1, 0}
+	mean, own := average{1, 0}, []*host{}
 	for _, h := range b.table.ready {
 		if b.draws(h.group) { // others' paces are told
 			mean.add(h.pace.value, 0)
+			own = append(own, h)
 		}
 	}
 	for i := range b.work {
@@ -383,10 +342,7 @@
 	for _, m := range b.table.models {
 		m.pace.value = max(m.pace.value/mean.value, paceLeast)
 	}
-	for _, h := range b.table.ready {
-		if !b.draws(h.group) {
-			continue
-		}
+	for _, h := range own {
 		if h.pace.value /= mean.value; b.now-h.paced > staleAge && h.model.pace.n > 0 {
 			h.pace.value += forget * (h.model.pace.value - h.pace.value)
 		}
@@ -404,21 +360,21 @@
 	slices.Sort(lats)
 	sum := 0.0
 	for _, h := range g {
-		if h.weight += raisePart; h.bad || h.fresh && h.lat.value > slowFactor*lats[len(lats)/2] {
-			h.weight = cutFactor * (h.weight - raisePart)
+		if h.weight += weightStep; h.bad || h.fresh && h.lat.value > slowFactor*lats[len(lats)/2] {
+			h.weight = cutFactor * (h.weight - weightStep)
 		}
 		h.bad, h.fresh = false, false
 		sum += h.weight
 	}
 	for _, h := range g {
-		h.weight = min(max(h.weight*float64(len(g))/sum, weightLeast), weightMost)
+		h.weight = min(max(h.weight*float64(len(g))/sum, weightStep), weightMost)
 	}
 }
 
 // Group choice and draw.
 
-// crowd is how much longer a hop takes among so many at a host, itself included: as they share its slots, where
-// reports of its kind show them. Else hosts with one slot and with several are met halfway.
+// crowd is how much longer a hop takes among so many, as they share the slots that reports of its kind show. Without
+// reports, hosts with one slot and with several are met halfway.
 func (h *host) crowd(hops float64) float64 {
 	if h.model.places.value == 0 {
 		return (hops + 1) / 2
@@ -426,18 +382,17 @@
 	return max(1, hops/max(1, h.model.places.value))
 }
 
-// expect is the time that a further hop is likely to take: the profile's, by the host's pace, by the crowd at it.
+// expect is the time that a further hop is likely to take.
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.pace.value * h.crowd(h.out()+1)
 }
 
-// choose takes the own group unless that is near full, else the group that promises most: a further one the
-// more so as a crossing is dear, or they only move a jam about. If every breaker is open, any allowed host
-// will do.
+// choose takes the own group unless that is near full, else the group that promises most, a further one the more so
+// as a crossing is dear. If every breaker is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
-	near := min(fullFrom+2*dear, fullMost) * float64(t.prof.Goal)
-	for barred := false; ; barred = true {
+	near := min(fullFrom+2*dear, admitMost) * float64(t.prof.Goal)
+	for _, barred := range []bool{false, true} {
 		most := b.patience(t.profile)
 		for _, g := range t.home.order {
 			h, e, busy := b.draw(g, t, barred, min(near, most))
@@ -447,25 +402,24 @@
 			pick, expected = h, e
 			if g != t.home {
 				most = e
-			} else if h.trialDue(t.profile, b.now) ||
+			} else if !barred && !h.closed(t.profile) || // on trial
 				e <= most && (h.crowd(h.out()+1) <= crowdFree || e <= near && busy < busyFull) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
 			}
 		}
-		if pick != nil || barred {
-			return pick, expected
+		if pick != nil {
+			break
 		}
 	}
+	return pick, expected
 }
 
-// draw picks from a group by weight, once more where that is well over the mean; if that is over near all the
-// same, the host that promises most. With it comes the group's reported utilisation.
+// draw picks from a group by weight and redraws once; over near it takes the host that promises most.
 func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
-	var second, best *host
+	var lots []lot
 	var mean, busy average
-	var e2, least, first, next float64
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
@@ -475,7 +429,8 @@
 		x := b.expect(h, t.profile)
 		if !barred && !h.closed(t.profile) {
 			// A trial must not cost a transaction that cannot run twice, unless its own profile is on trial.
-			if h.trialDue(t.profile, b.now) && (t.prof.Effect != NonIdempotent || !h.whole.open) && b.rare() {
+			if h.dueBy(t.profile) <= b.now && (t.prof.Effect != NonIdempotent || !h.whole.open) && b.rare() {
+				h.try(t.profile, b.now+coolMost)
 				return h, x, 0
 			}
 			continue
@@ -484,55 +439,29 @@
 		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
 		}
-		// The largest lot falls to each host as often as its weight asks.
 		luck := &b.chance
 		if t.key != 0 { // all gateways draw the same hosts for a key, as these remember it
 			luck = &chance{t.key, uint32(h.ID)}
 		}
-		if lot := math.Log(luck.draw()) * h.pace.value / h.weight; pick == nil || lot > first {
-			pick, second, e, e2, first, next = h, pick, x, e, lot, first
-		} else if second == nil || lot > next {
-			second, e2, next = h, x, lot
-		}
-		if best == nil || x < least {
-			best, least = h, x
-		}
+		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.pace.value / h.weight})
 	}
-	if second != nil && e2 < e && (e > slowFactor*mean.value || !whole && t.key == 0) {
-		pick, e = second, e2
+	if len(lots) == 0 {
+		return nil, 0, 0
 	}
-	if whole && e > near { // of many, all that take the best at once would bury it
-		pick, e = best, least
-	}
-	return pick, e, busy.value
-}
-
-// Admission.
-
-func newAdmission(tenants []Tenant, misses, told bool) admission {
-	a := admission{part: admitMost, crowd: crowdUntold}
-	if misses {
-		a.part = admitTail
+	first, second := twoLargest(lots)
+	if second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0) {
+		first = second
 	}
-	if told {
-		a.crowd = crowdMost
+	if whole && first.e > near { // of many, all that take the best at once would bury it
+		first = slices.MinFunc(lots, func(x, y lot) int { return cmp.Compare(x.e, y.e) })
 	}
-	for _, t := range tenants {
-		a.tenants = append(a.tenants, tenant{quota: t.Quota})
-	}
-	return a
+	return first.host, first.e, busy.value
 }
 
-// over tells whether a transaction goes beyond its tenant's share.
-func (a *admission) over(i int) bool {
-	t := &a.tenants[i]
-	t.taken++
-	t.tokens--
-	return t.greedy && t.tokens < 0
-}
+// Admission.
 
-// refill gives each tenant the tokens of a second. Its portion is an even part of its quota,
-// or what the middle tenant shows, so that none at a busy gateway is taken for greedy.
+// refill gives tenants their tokens, of an even part of the quota or what the middle tenant shows, so that none at a
+// busy gateway is taken for greedy.
 func (a *admission) refill(gateways float64) {
 	var parts []float64
 	for i := range a.tenants {
@@ -551,30 +480,35 @@
 	}
 }
 
-// patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
-// that earn far more for the same work before these are pressed themselves.
+// patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those that
+// earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
+	part, crowd := admitMost, crowdUntold
+	if b.price.Misses {
+		part = admitTail
+	}
+	if b.from.Tells {
+		crowd = crowdMost
+	}
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
-		return min((b.admit.part+p.LateRevenue/2)*float64(p.Goal), b.admit.crowd*b.free[i]) / b.work[i].value
+		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
+	}
+	earns := func(i int) float64 { // for the same work
+		if b.price.ByWork {
+			return b.profiles[i].Revenue
+		}
+		return b.profiles[i].Revenue / b.work[i].value
 	}
 	most := bears(profile)
 	for i := range b.profiles {
-		if b.earns(i) > yieldFrom*b.earns(profile) {
+		if earns(i) > yieldFrom*earns(profile) {
 			most = min(most, yieldPart*bears(i))
 		}
 	}
 	return most * b.work[profile].value
 }
 
-// earns is what a profile earns for the same work.
-func (b *Balancer) earns(profile int) float64 {
-	if b.price.ByWork {
-		return b.profiles[profile].Revenue
-	}
-	return b.profiles[profile].Revenue / b.work[profile].value
-}
-
 // A transaction's path.
 
 // fits keeps the second rule: no host where an effect could happen twice; and none tried before.
@@ -611,9 +545,8 @@
 	}
 }
 
-// admitted is the host for a transaction that has arrived, nil where it is better rolled back. A host long without
-// an answer is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any
-// jam, so that it does so by chance.
+// admitted is the host for a new transaction, nil where it is rolled back. A host long without an answer is worth a
+// hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
 func (b *Balancer) admitted(t *tx) (*host, float64) {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
@@ -627,15 +560,12 @@
 }
 
 func (b *Balancer) start(t *tx) {
-	if h, e := b.admitted(t); h == nil {
-		b.giveUp(t)
-	} else if !t.done {
+	h, e := b.admitted(t)
+	switch {
+	case t.done:
+	case h != nil:
 		b.send(t, h, e)
-	}
-}
-
-func (b *Balancer) giveUp(t *tx) {
-	if !t.done {
+	default:
 		b.shed++
 		b.finish(t)
 	}
@@ -643,7 +573,6 @@
 
 func (b *Balancer) send(t *tx, h *host, expected float64) {
 	i := len(t.hops)
-	h.tried(t.profile, b.now)
 	if h.Zone != b.place.Zone {
 		b.spilt++
 	}
@@ -664,14 +593,14 @@
 	if t.prof.Effect == NonIdempotent || !b.hops.SecondCopies || i+1 >= b.hops.Most {
 		return
 	}
-	b.at(b.now+time.Duration(copyAfter*expected), func() {
+	b.at(b.now+time.Duration(overdue*expected), func() {
 		if !t.done && !t.hops[i].over && i == len(t.hops)-1 {
 			b.again(t, fullFrom*float64(t.prof.Goal))
 		}
 	})
 }
 
-// again sends a further hop where a host can still answer in time, and within most; it tells whether it did.
+// again sends a further hop where a host can still answer in time and within most.
 func (b *Balancer) again(t *tx, most float64) bool {
 	h, e := b.choose(t)
 	if h == nil || len(t.hops) >= b.hops.Most || e >= min(float64(t.stop-b.now), most) {
@@ -681,7 +610,7 @@
 	return true
 }
 
-// finish answers at once: rolled back where nothing is left, to come back after its usual time; or abandoned.
+// finish answers at once; to be rolled back, nothing may be left.
 func (b *Balancer) finish(t *tx) {
 	if t.prof.Effect == Idempotent || t.ran() == nil || t.prof.Effect == Journalled && t.prof.Reach == AllHosts {
 		b.out.RollBack(t.id, min(time.Duration(b.work[t.profile].value), b.hops.BackMost))
@@ -691,7 +620,7 @@
 	b.settle(t)
 }
 
-// settle calls off what is still out of a transaction that has ended, and forgets it when nothing is.
+// settle calls off what is still out, and forgets the transaction when nothing is.
 func (b *Balancer) settle(t *tx) {
 	for i := range t.hops {
 		if !t.hops[i].over && !t.done && b.hops.CallOff {
@@ -705,14 +634,11 @@
 
 func (b *Balancer) HopEnded(now time.Duration, id TxID, i int, r Result, over bool) {
 	b.now = now
-	t := b.txs[id]
-	if t == nil || i < 0 || i >= len(t.hops) || t.hops[i].over {
+	t, k := b.hopOut(id, i)
+	if k == nil {
 		return
 	}
-	k := &t.hops[i]
-	k.over, k.end = true, r.End
-	t.out--
-	k.host.own--
+	k.over, k.end, t.out, k.host.own = true, r.End, t.out-1, k.host.own-1
 	b.unsaid(k.host)
 	if !b.draws(k.host.group) {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
@@ -723,24 +649,3 @@
 	}
 	k.then()
 }
-
-func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
-	b.now = now
-	if t := b.txs[id]; t != nil {
-		t.done = true
-	}
-}
-
-func (b *Balancer) Left(now time.Duration, id TxID) {
-	b.now = now
-	if t := b.txs[id]; t != nil {
-		b.settle(t)
-	}
-}
-
-func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
-	b.now = now
-	if h := b.table.byID[id]; h != nil {
-		h.report(l, now)
-	}
-}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -86,10 +86,10 @@
 		fmt.Println("second", second, "hops:", s.hopsTo)
 	}
 	// Output:
-	// second 0 hops: map[1:39 2:11]
-	// second 1 hops: map[1:27 2:23]
-	// second 2 hops: map[1:29 2:21]
-	// second 3 hops: map[1:23 2:27]
+	// second 0 hops: map[1:27 2:23]
+	// second 1 hops: map[1:25 2:25]
+	// second 2 hops: map[1:21 2:29]
+	// second 3 hops: map[1:30 2:20]
 }
 
 // Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,7 +48,9 @@
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
 	b.table.addGroups(place)
-	b.admit = newAdmission(tenants, price.Misses, from.Tells)
+	for _, t := range tenants {
+		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
+	}
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
 		b.free[i] = b.work[i].value
@@ -60,6 +62,16 @@
 	return b
 }
 
+// unsaid has a host told of soon.
+func (b *Balancer) unsaid(h *host) {
+	if b.from.Tells && !h.unsaid {
+		h.unsaid = true
+		if b.untold = append(b.untold, h); len(b.untold) == 1 {
+			b.at(b.now+tick, b.tell)
+		}
+	}
+}
+
 // asked takes out the first transaction of a profile that waits for a host drawn by another gateway.
 func (b *Balancer) asked(profile int) *tx {
 	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == profile })
@@ -71,6 +83,36 @@
 	return t
 }
 
+// hopOut is a hop that has not ended, nil where none is known.
+func (b *Balancer) hopOut(id TxID, i int) (*tx, *hop) {
+	t := b.txs[id]
+	if t == nil || i < 0 || i >= len(t.hops) || t.hops[i].over {
+		return nil, nil
+	}
+	return t, &t.hops[i]
+}
+
+func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
+	b.now = now
+	if t := b.txs[id]; t != nil {
+		t.done = true
+	}
+}
+
+func (b *Balancer) Left(now time.Duration, id TxID) {
+	b.now = now
+	if t := b.txs[id]; t != nil {
+		b.settle(t)
+	}
+}
+
+func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
+	b.now = now
+	if h := b.table.byID[id]; h != nil {
+		h.report(l, now)
+	}
+}
+
 // average is a smoothed value that trusts its first samples.
 type average struct{ value, n float64 }
 
@@ -272,6 +314,37 @@
 
 func (h *host) breakers(profile int) []*breaker { return []*breaker{&h.whole, &h.by[profile]} }
 
+// report takes in what a host says of its load.
+func (h *host) report(l Load, now time.Duration) {
+	if l.Busy >= 0 {
+		h.busy, h.busyAt = l.Busy, now
+	}
+	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
+		p.add(max(1, l.Held-l.Waiting), paceStep)
+	} else if l.Waiting == 0 {
+		p.value = max(p.value, l.Held)
+	}
+}
+
+// dueBy is when all its open breakers are due for a trial.
+func (h *host) dueBy(profile int) (by time.Duration) {
+	for _, k := range h.breakers(profile) {
+		if k.open {
+			by = max(by, k.until)
+		}
+	}
+	return by
+}
+
+// try marks its open breakers as on trial, and when the next is due.
+func (h *host) try(profile int, next time.Duration) {
+	for _, k := range h.breakers(profile) {
+		if k.open {
+			k.trying, k.until = true, next
+		}
+	}
+}
+
 // out is all hops there, as far as known.
 func (h *host) out() float64 { return float64(h.own + h.others) }
 
@@ -325,8 +398,6 @@
 
 type admission struct {
 	tenants []tenant
-	part    float64 // of the goal that a transaction's expected time may take on arrival
-	crowd   float64 // hops a slot up to which a host may be filled
 }
 
 // tenant counts in transactions a second of this gateway.
@@ -336,6 +407,14 @@
 	greedy               bool // it sends far more than its portion
 }
 
+// over tells whether a transaction goes beyond its tenant's share.
+func (a *admission) over(i int) bool {
+	t := &a.tenants[i]
+	t.taken++
+	t.tokens--
+	return t.greedy && t.tokens < 0
+}
+
 type tx struct {
 	id      TxID
 	profile int
@@ -349,6 +428,24 @@
 	done    bool   // it has its final answer, or its stream has begun
 }
 
+// lot is a host's in a draw: the largest falls to each as often as its weight asks.
+type lot struct {
+	host   *host
+	e, lot float64 // expected time; the lot
+}
+
+func twoLargest(lots []lot) (first, second lot) {
+	first, second = lots[0], lots[0]
+	for i, l := range lots[1:] {
+		if l.lot > first.lot {
+			first, second = l, first
+		} else if i == 0 || l.lot > second.lot {
+			second = l
+		}
+	}
+	return first, second
+}
+
 type hop struct {
 	host *host
 	at   time.Duration
