--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,7 +121,7 @@
 }
 
 // Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
-// draws for all, is asked for each transaction and told how hops ended. Unanswered, a gateway draws by itself.
+// draws for all, is asked for each transaction and told how hops ended. Unanswered, each draws by itself.
 
 // drawer draws for a zone; it is -1 where each gateway draws for itself.
 func (b *Balancer) drawer(g *group) int {
@@ -158,7 +158,9 @@
 		b.shed++
 		b.finish(t)
 	case h != nil && t.fits(h, b.now) && b.coldRoom(h):
-		h.hold(from, max(0, k.Hops-h.own), b.now)
+		if !b.draws(h.group) { // else it knows better
+			h.hold(from, max(0, k.Hops-h.own), b.now)
+		}
 		b.send(t, h, b.expect(h, t.profile))
 	default:
 		b.start(t)
@@ -491,7 +493,7 @@
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
-// admitted is the host for a new transaction, nil where it is rolled back. One long without an answer is worth
+// admitted is the host for a new transaction, nil where it is rolled back. One long unheard of is worth
 // a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
 func (b *Balancer) admitted(t *tx) (*host, float64) {
 	most := b.patience(t.profile)
