--- a/logic/logic.go
+++ b/logic/logic.go
@@ -149,7 +149,6 @@
 
 func (b *Balancer) answered(from int, k Held, h *host) {
 	b.table.own().heard = b.now
-	b.table.own().idle = either(k.Host != 0 && k.Hops == 0, b.now, 0) // no need to ask
 	if h != nil {
 		b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
 	}
@@ -491,7 +490,7 @@
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
-	either(b.draws(t.home) || b.now-t.home.idle < staleAge, b.start, b.ask)(t)
+	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
 // admitted is the host for a new transaction, nil where it is rolled back. One long unheard of is worth
--- a/logic/state.go
+++ b/logic/state.go
@@ -302,7 +302,6 @@
 	order   []*group      // this one and then the others
 	skip    int           // those that drew here and were given up as silent
 	heard   time.Duration // when the one that draws here last answered
-	idle    time.Duration // when its best host was last told to be idle, 0 for not
 	awaited time.Duration // since when it is waited for
 }
 
