--- a/logic/logic.go
+++ b/logic/logic.go
@@ -361,7 +361,7 @@
 	for _, barred := range []bool{false, true} {
 		most := b.patience(t.profile)
 		for _, g := range t.home.order {
-			h, e, busy := b.draw(g, t, barred, min(near, most))
+			h, e, busy := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
 			if h == nil || g != t.home && e > most {
 				continue
 			}
