--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,6 +28,7 @@
 	weightStep  = 0.1                    // of the mean weight: gained in a good second, and the least, ditto
 	weightMost  = 2.0                    // of the mean weight, ditto
 	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
+	likeLeast   = 0.8                    // of the pace of its like: hosts of a kind are hardly faster than that
 	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
@@ -292,7 +293,7 @@
 func (h *host) learnPace(p float64) {
 	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
-	h.pace.value = max(h.pace.value, paceLeast)
+	h.pace.value = max(h.pace.value, likeLeast*h.model.pace.value)
 }
 
 // settlePaces keeps paces around 1. A host seen slow, as cold ones are, gets no hops to show it well again:
