--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
 	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
-	overdue     = 2.0                    // expected times after which a second copy goes, a time-out counts
+	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
 	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
@@ -162,7 +162,7 @@
 		if !b.draws(h.group) { // else it knows better
 			h.hold(from, max(0, k.Hops-h.own), b.now)
 		}
-		b.send(t, h, b.expect(h, t.profile))
+		b.send(t, h)
 	default:
 		b.start(t)
 	}
@@ -193,7 +193,7 @@
 func (b *Balancer) drawFor(from int, k Held) {
 	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
 	answer := Held{Kind: Answer, Profile: k.Profile}
-	if h, _ := b.admitted(t); h != nil {
+	if h := b.admitted(t); h != nil {
 		answer.Host, answer.Hops = h.ID, h.own+h.others
 		by := either(b.draws(h.group), from, b.drawer(h.group))
 		h.hold(by, h.heldBy[by].hops+1, b.now)
@@ -256,6 +256,9 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	h.report(r.Load, b.now)
+	if r.Load.Waiting >= 0 && !b.from.Tells && b.place.Gateways > fewGateways { // one answer speaks for the zone
+		h.group.queue.add(r.Load.Waiting, paceStep)
+	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
@@ -265,8 +268,7 @@
 		work.add(took/crowd/h.pace.value, workStep)
 		h.learnPace(took / crowd / work.value)
 	case TimedOut, CalledOff:
-		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang, as does one
-		// called off for its second copy.
+		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
 		bad = took > overdue*work.value*crowd
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
@@ -308,7 +310,10 @@
 	}
 	for i := range b.work {
 		w := &b.work[i]
-		w.value *= mean.value
+		if w.n-b.was[i] > priorPaces { // the time of one rolled back each time would drift away
+			w.value *= mean.value
+		}
+		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
 		if b.from.Tells || w.value < b.free[i] {
 			b.free[i] = w.value
@@ -496,32 +501,31 @@
 
 // admitted is the host for a new transaction, nil where it is rolled back. One long unheard of is worth
 // a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
-func (b *Balancer) admitted(t *tx) (*host, float64) {
+func (b *Balancer) admitted(t *tx) *host {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
 	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
-		return nil, 0
+		return nil
 	}
-	return h, e
+	return h
 }
 
 func (b *Balancer) start(t *tx) {
-	h, e := b.admitted(t)
+	h := b.admitted(t)
 	switch {
 	case t.done:
 	case h != nil:
-		b.send(t, h, e)
+		b.send(t, h)
 	default:
 		b.shed++
 		b.finish(t)
 	}
 }
 
-func (b *Balancer) send(t *tx, h *host, expected float64) {
-	i := len(t.hops)
+func (b *Balancer) send(t *tx, h *host) {
 	if b.isCold(h) {
 		h.sent = append(h.sent, b.now)
 	}
@@ -531,28 +535,20 @@
 	b.unsaid(h)
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.out(), then: func() {
-		if t.out == 0 && !b.again(t, math.Inf(1)) {
+		if t.out == 0 && !b.again(t) {
 			b.finish(t)
 		}
 	}})
 	b.out.Hop(t.id, h.ID, t.stop-b.now)
-	if t.prof.Effect == NonIdempotent || !b.hops.SecondCopies || i+1 >= b.hops.Most {
-		return
-	}
-	b.at(b.now+time.Duration(overdue*expected), func() {
-		if !t.done && !t.hops[i].over && i == len(t.hops)-1 {
-			b.again(t, fullFrom*float64(t.prof.Goal))
-		}
-	})
 }
 
-// again sends a further hop where a host can still answer in time and within most.
-func (b *Balancer) again(t *tx, most float64) bool {
+// again sends a further hop where a host can still answer in time.
+func (b *Balancer) again(t *tx) bool {
 	h, e := b.choose(t)
-	if h == nil || len(t.hops) >= b.hops.Most || e >= min(float64(t.stop-b.now), most) {
+	if h == nil || len(t.hops) >= b.hops.Most || e >= float64(t.stop-b.now) {
 		return false
 	}
-	b.send(t, h, e)
+	b.send(t, h)
 	return true
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,6 +28,7 @@
 
 	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
 	free    []float64 // by profile: the least that has been of late, as when hosts are free
+	was     []float64 // by profile: answers counted in its time a second ago
 	errs    average   // share of errors at all hosts
 	revenue average   // of the transactions taken
 	shed    int       // rolled back on arrival within the last second
@@ -43,7 +44,7 @@
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		cold:   cold,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), free: make([]float64, len(profiles)),
+		work: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
 	b.table.addGroups(place)
@@ -300,6 +301,7 @@
 	index   int // among the zones
 	hosts   []*host
 	order   []*group      // this one and then the others
+	queue   average       // hops waiting at a host here, where answers report it to one of many
 	skip    int           // those that drew here and were given up as silent
 	heard   time.Duration // when the one that draws here last answered
 	awaited time.Duration // since when it is waited for
@@ -373,7 +375,7 @@
 }
 
 // out is all hops there, as far as known.
-func (h *host) out() float64 { return float64(h.own + h.others) }
+func (h *host) out() float64 { return float64(h.own+h.others) + h.group.queue.value }
 
 // hold counts what another gateway has out.
 func (h *host) hold(from, hops int, now time.Duration) {
