--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -34,7 +34,6 @@
 		Probes        bool  `json:"probes"`
 		RetryAfter    bool  `json:"retryAfter"`
 		MaxRetryAfter int64 `json:"maxRetryAfter"`
-		SecondCopies  bool  `json:"secondCopies"`
 	} `json:"limits"`
 	Discovery   string `json:"discovery"`
 	Obligations struct {
@@ -49,7 +48,6 @@
 	} `json:"blend"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
-		Peer      float64 `json:"peer"`
 	} `json:"prices"`
 	Report struct {
 		Via string `json:"via"`
@@ -105,11 +103,11 @@
 		logic.Place{Gateways: o.Balancers, Me: o.Me, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
 		logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
 			Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
-		logic.HopRule{Most: o.Limits.MostHops, SecondCopies: o.Limits.SecondCopies, CallOff: o.Limits.Cancelling,
+		logic.HopRule{Most: o.Limits.MostHops, CallOff: o.Limits.Cancelling,
 			BackMost: back},
 		logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
 			AskWithin: askWithin},
-		logic.Price{Crossing: o.Prices.CrossZone, Told: o.Prices.Peer * heldBytes / mostBytes, ByWork: o.RevenueBy == "work",
+		logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
 			Misses: o.Blend.Tail > 0})
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,9 +68,6 @@
 		}
 	}
 	for _, g := range b.table.groups {
-		if g.awaited > g.heard && b.now-g.awaited > staleAge { // who draws there is silent: the next one
-			g.skip, g.awaited = g.skip+1, 0
-		}
 		reweigh(g.hosts)
 	}
 	b.settlePaces()
@@ -94,8 +91,7 @@
 		b.at(now+b.spread(askAgain<<min(b.table.lost-1, 2)), b.out.AskList)
 		return
 	}
-	// A host that is new or has started again is without a record; what is out to it still counts.
-	for _, h := range b.table.merge(kind, hosts) {
+	for _, h := range b.table.merge(kind, hosts) { // without a record; what is out still counts
 		h.health = health{weight: 1, pace: average{1, priorPaces}, by: make([]breaker, len(b.profiles))}
 	}
 }
@@ -134,25 +130,28 @@
 
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
-func (b *Balancer) ask(t *tx) {
-	if b.now-max(t.home.heard, t.home.awaited) > staleAge {
-		t.home.awaited = b.now
+// missed goes on to the next drawer after so many answers in a row that did not come.
+func (g *group) missed(most int) {
+	if g.misses++; g.misses >= most {
+		g.skip, g.misses = g.skip+1, 0
 	}
+}
+
+func (b *Balancer) ask(t *tx) {
 	b.asking = append(b.asking, t)
 	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
 	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
 		if i := slices.Index(b.asking, t); i >= 0 {
 			b.asking = slices.Delete(b.asking, i, i+1)
+			t.home.missed(rowToOpen)
 			b.start(t)
 		}
 	})
 }
 
 func (b *Balancer) answered(from int, k Held, h *host) {
-	b.table.own().heard = b.now
-	if h != nil {
-		b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
-	}
+	b.table.own().misses = 0
+	b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
 	switch t := b.asked(k.Profile); {
 	case t == nil || t.done:
 	case k.Host == 0:
@@ -182,7 +181,7 @@
 			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
 		default:
 			if k.Kind == Sum {
-				h.pace.value = float64(k.Took) / b.work[0].value
+				h.pace.value, h.group.misses = float64(k.Took)/b.work[0].value, 0
 			}
 			h.hold(from, k.Hops, now)
 		}
@@ -192,6 +191,9 @@
 // drawFor counts the hop as out until more is told.
 func (b *Balancer) drawFor(from int, k Held) {
 	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
+	for i := 0; i < b.place.Gateways && !b.draws(t.home); i++ {
+		t.home.skip++ // asked, as those before it are silent
+	}
 	answer := Held{Kind: Answer, Profile: k.Profile}
 	if h := b.admitted(t); h != nil {
 		answer.Host, answer.Hops = h.ID, h.own+h.others
@@ -218,6 +220,7 @@
 	for _, g := range b.table.groups {
 		if !b.draws(g) {
 			b.out.Tell(b.drawer(g), sums)
+			g.missed(int(staleAge / relayTick))
 		}
 	}
 }
@@ -298,8 +301,7 @@
 	h.pace.value = max(h.pace.value, likeLeast*h.model.pace.value)
 }
 
-// settlePaces keeps paces around 1. A host seen slow, as cold ones are, gets no hops to show it well again:
-// its pace goes to that of its like.
+// settlePaces keeps paces around 1. One not heard of gets no hops to show it well: it goes to that of its like.
 func (b *Balancer) settlePaces() {
 	mean, own := average{1, 0}, []*host{}
 	for _, h := range b.table.ready {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -203,10 +203,8 @@
 	fmt.Println("after that:", s.hopsTo)
 	s.print()
 	// Output:
-	// after that: map[1:7 2:3]
+	// after that: map[2:10]
 	// 2200 tx 50 hop to 1 for 1000
-	// 2320 tx 50 hop to 2 for 880
-	// 2610 tx 50 call off hop 0
 }
 
 // Where all hosts are slow, hops that time out everywhere open no breaker, as that would jam the rest; far
@@ -315,10 +313,10 @@
 	fmt.Println(s.now, s.hopsTo)
 	// Output:
 	// 2.2s map[1:20]
-	// 8.86s map[1:120 2:2]
-	// 14.86s map[1:168 2:54]
-	// 20.86s map[1:213 2:109]
-	// 26.86s map[1:260 2:162]
+	// 8.86s map[1:118 2:2]
+	// 14.86s map[1:217 2:3]
+	// 20.86s map[1:267 2:53]
+	// 26.86s map[1:314 2:106]
 }
 
 // A profile that is turned away as full while others are answered is kept off that host.
@@ -353,11 +351,10 @@
 	s.print()
 	// Output:
 	// 7662 log: last second: 1 rolled back on arrival
-	// 8662 log: last second: 3 rolled back on arrival
-	// 9662 log: last second: 2 rolled back on arrival
-	// 10662 log: last second: 2 rolled back on arrival
-	// 11662 log: last second: 3 rolled back on arrival
-	// 12662 log: last second: 2 rolled back on arrival
+	// 8662 log: last second: 1 rolled back on arrival
+	// 9662 log: last second: 1 rolled back on arrival
+	// 11662 log: last second: 2 rolled back on arrival
+	// 12662 log: last second: 1 rolled back on arrival
 }
 
 // The same calls give the same decisions.
--- a/logic/scene_test.go
+++ b/logic/scene_test.go
@@ -37,7 +37,7 @@
 	s.Balancer = logic.New(s, s.now, 7, logic.Place{Gateways: 2, Zone: "a", Zones: []string{"a", "b"}},
 		profiles, tenants,
 		logic.ColdRule{From: 0.25, WarmUp: 8 * time.Second, Multiple: 4, TipAfter: time.Second},
-		logic.HopRule{Most: 3, SecondCopies: true, CallOff: true, BackMost: time.Second},
+		logic.HopRule{Most: 3, CallOff: true, BackMost: time.Second},
 		logic.Sources{AskWithin: 10 * time.Second}, logic.Price{Crossing: 0.05})
 	s.List(s.now, logic.Cached, hosts)
 	return s
--- a/logic/state.go
+++ b/logic/state.go
@@ -64,7 +64,7 @@
 
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
-	if b.from.Tells && !h.unsaid {
+	if b.from.Tells && h != nil && !h.unsaid {
 		h.unsaid = true
 		if b.untold = append(b.untold, h); len(b.untold) == 1 {
 			b.at(b.now+tick, b.tell)
@@ -297,14 +297,13 @@
 
 // group is the hosts of one zone.
 type group struct {
-	zone    string
-	index   int // among the zones
-	hosts   []*host
-	order   []*group      // this one and then the others
-	queue   average       // hops waiting at a host here, where answers report it to one of many
-	skip    int           // those that drew here and were given up as silent
-	heard   time.Duration // when the one that draws here last answered
-	awaited time.Duration // since when it is waited for
+	zone   string
+	index  int // among the zones
+	hosts  []*host
+	order  []*group // this one and then the others
+	queue  average  // hops waiting at a host here, where answers report it to one of many
+	skip   int      // those that drew here and were given up as silent
+	misses int      // answers in a row that did not come
 }
 
 type heldBy struct {
--- a/logic/types.go
+++ b/logic/types.go
@@ -183,10 +183,9 @@
 
 // HopRule bounds what one transaction may use.
 type HopRule struct {
-	Most         int
-	SecondCopies bool
-	CallOff      bool
-	BackMost     time.Duration // the longest time to come back that clients keep to, 0 where they are told none
+	Most     int
+	CallOff  bool
+	BackMost time.Duration // the longest time to come back that clients keep to, 0 where they are told none
 }
 
 // Sources says what a gateway learns beside the outcomes of its own hops.
@@ -199,7 +198,6 @@
 // Price says what costs revenue beside the transaction's own.
 type Price struct {
 	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
-	Told     float64 // telling one gateway of one host, ditto
 	ByWork   bool    // revenue is counted for each unit of work
 	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
 }
