--- a/logic/logic.go
+++ b/logic/logic.go
@@ -301,7 +301,7 @@
 	h.pace.value = max(h.pace.value, likeLeast*h.model.pace.value)
 }
 
-// settlePaces keeps paces around 1. One not heard of gets no hops to show it well: it goes to that of its like.
+// settlePaces keeps paces around 1. One not heard of gets no hops to show it well: it goes to its like's.
 func (b *Balancer) settlePaces() {
 	mean, own := average{1, 0}, []*host{}
 	for _, h := range b.table.ready {
