--- a/logic/logic.go
+++ b/logic/logic.go
@@ -213,7 +213,7 @@
 	var sums []Held
 	for _, h := range b.table.ready {
 		if b.draws(h.group) && !h.whole.open && !b.silent(h) {
-			took := time.Duration(h.pace.value * b.work[0].value)
+			took := time.Duration(h.slowness() * b.work[0].value)
 			sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others, Took: took})
 		}
 	}
@@ -294,13 +294,14 @@
 	}
 }
 
-// learnPace bounds the pace: a burst that is over before its last hop ends makes a host look fast.
 func (h *host) learnPace(p float64) {
 	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
-	h.pace.value = max(h.pace.value, likeLeast*h.model.pace.value)
 }
 
+// slowness is the pace, bounded: a burst that is over before its last hop ends makes a host look fast.
+func (h *host) slowness() float64 { return max(h.pace.value, likeLeast*h.model.pace.value) }
+
 // settlePaces keeps paces around 1. One not heard of gets no hops to show it well: it goes to its like's.
 func (b *Balancer) settlePaces() {
 	mean, own := average{1, 0}, []*host{}
@@ -358,7 +359,7 @@
 }
 
 func (b *Balancer) expect(h *host, profile int) float64 {
-	return b.work[profile].value * h.pace.value * h.crowd(h.out()+1)
+	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
 }
 
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
@@ -415,7 +416,7 @@
 		}
 		// All gateways draw the same hosts for a key, as these remember it.
 		luck := either(t.key != 0, &chance{t.key, uint32(h.ID)}, &b.chance)
-		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.pace.value / h.weight})
+		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.slowness() / h.weight})
 	}
 	first, second := twoLargest(lots)
 	if second.host != nil && second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0) {
