--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,7 +13,7 @@
 
 const (
 	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
-	fewGateways = 8                      // that may each tell, probe and try for themselves at a bearable price
+	fewGateways = 20                     // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
 	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
