--- a/internal/simwire/held.go
+++ b/internal/simwire/held.go
@@ -39,6 +39,9 @@
 	}
 	held := make([]logic.Held, 0, len(msg)/heldBytes)
 	for ; len(msg) > 0; msg = msg[heldBytes:] {
+		if kind, end := logic.HeldKind(msg[5]>>4), logic.End(msg[5]&15); kind > logic.Answer || end > logic.Moot {
+			return nil, fmt.Errorf("unknown kind %d or end %d", kind, end)
+		}
 		held = append(held, logic.Held{Host: logic.HostID(binary.LittleEndian.Uint32(msg)), Hops: int(msg[4]),
 			Kind: logic.HeldKind(msg[5] >> 4), End: logic.End(msg[5] & 15), Profile: int(msg[6]),
 			Took: time.Duration(binary.LittleEndian.Uint16(msg[7:])) * tookUnit})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	crowdUntold = 3.0                    // the same where only the own ones are known, and the time is the least
+	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -303,7 +303,7 @@
 	// 2200 tx 109 rolled back, come back after 60
 	// 2200 tx 110 rolled back, come back after 60
 	// 2200 tx 111 rolled back, come back after 60
-	// all at once: map[1:5 2:4]
+	// all at once: map[1:4 2:4]
 }
 
 // A profile that earns far more for the same work still gets room where the cheaper one is rolled back.
@@ -321,7 +321,7 @@
 	s.take(200, 1, -1)
 	s.print()
 	// Output:
-	// 4600 tx 113 hop to 1 for 1000
+	// 4600 tx 113 rolled back, come back after 60
 	// 4600 tx 114 rolled back, come back after 60
 	// 4600 tx 115 rolled back, come back after 60
 	// 4600 tx 200 hop to 1 for 395
@@ -402,9 +402,10 @@
 	}
 	s.print()
 	// Output:
-	// 7662 log: last second: 1 rolled back on arrival
+	// 7662 log: last second: 2 rolled back on arrival
 	// 8662 log: last second: 1 rolled back on arrival
-	// 9662 log: last second: 1 rolled back on arrival
+	// 9662 log: last second: 2 rolled back on arrival
+	// 10662 log: last second: 1 rolled back on arrival
 	// 11662 log: last second: 2 rolled back on arrival
-	// 12662 log: last second: 1 rolled back on arrival
+	// 12662 log: last second: 2 rolled back on arrival
 }
