--- a/logic/logic.go
+++ b/logic/logic.go
@@ -180,7 +180,7 @@
 		case k.Kind == Ended:
 			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
 		default:
-			if k.Kind == Sum {
+			if k.Kind == Sum && k.Took > 0 { // no time would make it look infinitely fast
 				h.pace.value, h.group.misses = float64(k.Took)/b.work[0].value, 0
 			}
 			h.hold(from, k.Hops, now)
