SIGHUP has the file read again, and discovery is followed to where it has moved

Checked: the log ends with no line of the program's own, so nothing in it ended the gateway; 129 is the default end by that signal. Excluded: memory (6 of 64 MB), descriptors (128 of 384). To blame: cmd/spanmux/main.go subscribed to SIGTERM, SIGINT and SIGUSR1 only; and internal/routing/watch.go knew one address of discovery for the whole life of the gateway.

Now the file is read again; one that is torn, missing or without an address leaves what is in force. A new address gets a line of its own and a call for the whole list at once, whatever the old call still waits for; what the old line brings or how it ends is passed over and is no lost list to the module.

Tests: Example_run (signals and files), Example_rediscover (the list).

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -44,20 +46,31 @@
 func main() {
 	path := flag.String("config", os.Getenv("BALANCER_CONFIG"), "file with what the gateway is told, as JSON")
 	flag.Parse()
-	if err := run(*path); err != nil {
+	if err := run(*path, os.Stdout); err != nil {
 		slog.Error("spanmux ends", "error", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string) error {
+// read reads what the gateway is told.
+func read(path string) (t told, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return err
+		return t, err
+	}
+	if err = json.Unmarshal(text, &t); err != nil {
+		err = fmt.Errorf("%s: %w", path, err)
 	}
-	var t told
-	if err := json.Unmarshal(text, &t); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+	return t, err
+}
+
+// run is the gateway from start to end; it prints its counters when asked to and at the end.
+func run(path string, out io.Writer) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	t, err := read(path)
+	if err != nil {
+		return err
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", t.Name))
 	seed, err := strconv.ParseUint(t.Seed, 16, 64)
@@ -90,20 +103,35 @@
 			slog.Warn("known list left out", "error", err)
 		}
 	}
-	go desk.Run(seed, t.Discovery, known)
+	desk.Start(seed, t.Discovery, known)
+	go desk.Serve()
 	slog.Info("gateway listens", "at", t.Listen, "sockets", t.Limits.Sockets)
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	for s := range signals {
-		if s == syscall.SIGUSR1 {
-			fmt.Print(desk.Counters())
-			continue
+	for s := <-signals; s == syscall.SIGUSR1 || s == syscall.SIGHUP; s = <-signals {
+		if s == syscall.SIGHUP {
+			reload(path, desk)
+		} else {
+			fmt.Fprint(out, desk.Counters())
 		}
-		break
 	}
 	slog.Info("gateway ends: no new clients soon")
 	desk.Close()
-	fmt.Print(desk.Counters())
+	fmt.Fprint(out, desk.Counters())
 	return nil
 }
+
+// reload reads the file again and takes over where discovery is; the rest holds from start to end. A file that is
+// missing, torn or without that address leaves what is in force: this gateway serves, and half a word is no reason to
+// stop.
+func reload(path string, desk *routing.Desk) {
+	t, err := read(path)
+	if err == nil {
+		_, _, err = net.SplitHostPort(t.Discovery)
+	}
+	if err != nil {
+		slog.Warn("what it is told is left out", "error", err)
+		return
+	}
+	slog.Info("told anew", "discovery", t.Discovery)
+	desk.Rediscover(t.Discovery)
+}
--- /dev/null
+++ b/cmd/spanmux/main_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// SIGHUP has the file read again, and discovery followed to where it has moved; it must not end the gateway, whatever the
+// file holds by then. SIGTERM ends it.
+func Example_run() {
+	calls := make(chan string, 9)
+	discovery := func(name string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls <- name + ": " + r.URL.Path
+			<-r.Context().Done()
+		}))
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	free, _ := net.Listen("tcp", "127.0.0.1:0")
+	free.Close()
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "config.json")
+	tell := func(text string) { os.WriteFile(path, []byte(text), 0o600) }
+	at := func(discovery string) string {
+		text, _ := json.Marshal(map[string]any{"listen": free.Addr().String(), "discovery": discovery, "seed": "7",
+			"settings": json.RawMessage(`{"balancers":1,"dcs":["a"],"myZone":"a","discovery":"subscribe",` +
+				`"obligations":{"askWithin":1000}}`)})
+		return string(text)
+	}
+	called := func() {
+		select {
+		case call := <-calls:
+			fmt.Println(call)
+		case <-time.After(5 * time.Second):
+			fmt.Println("no call")
+		}
+	}
+	tell(at(discovery("first")))
+	ended := make(chan error)
+	go func() { ended <- run(path, io.Discard) }()
+	called()
+	moved := at(discovery("second"))
+	for _, text := range []string{moved[:len(moved)-9], "{}", moved} {
+		tell(text)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		time.Sleep(20 * time.Millisecond) // as one for each file
+	}
+	called()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	fmt.Println("ended, error:", <-ended)
+	// Output:
+	// first: /v1/endpoints
+	// second: /v1/endpoints
+	// ended, error: <nil>
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -61,10 +61,8 @@
 		known.Targets = append(known.Targets, protocol.Entry{UID: uid, Endpoint: at, Zone: "a", Cell: i, State: "in_service"})
 	}
 	discovery := s.listen(http.HandlerFunc(s.discover))
-	go desk.Run(7, discovery, known)
-	for !s.ready.Load() {
-		time.Sleep(time.Millisecond)
-	}
+	desk.Start(7, discovery, known)
+	go desk.Serve()
 	return s
 }
 
@@ -411,6 +409,39 @@
 	// pauses: true
 }
 
+// Discovery may move while a call waits there. All is asked for at the new address at once; what the old one still
+// brings is passed over, and its end is no lost list.
+func Example_rediscover() {
+	s := play("one", "two")
+	s.until("a call", func() bool { return s.Book.Lists.Load() == 1 })
+	lists := make(chan string, 1)
+	moved := s.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case text := <-lists:
+			s.say("moved to: %s", r.URL)
+			io.WriteString(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	s.Rediscover(moved)
+	s.lists <- `{"rev":9,"all":true,"targets":[]}`
+	lists <- `{"rev":3,"all":true,"targets":[{"uid":"two","az":"a","state":"terminating"}]}`
+	s.untilRev(3)
+	s.ask("read", "go")
+	s.print()
+	s.until("a watch", func() bool { return s.Book.Lists.Load() == 3 })
+	lists <- `{"rev":5,"targets":[]}`
+	s.untilRev(5)
+	s.print()
+	fmt.Println("lost:", s.Book.ListsLost.Load())
+	// Output:
+	// discovery: /v1/endpoints?index=4&wait=20000
+	// moved to: /v1/endpoints
+	// read go: 503 "rolled back"
+	// moved to: /v1/endpoints?index=3&wait=20000
+	// lost: 0
+}
+
 // A host's number comes from its uid alone, and two uids with one number are noticed. A start before the gateway's own
 // is known as such: taken for long ago, a cold host would be pushed over.
 func Example_numbers() {
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -52,21 +52,21 @@
 	return nil
 }
 
-// Run starts the decisions and serves until Close. Discovery is asked at its address; known is the list as it was
-// last had.
-func (d *Desk) Run(seed uint64, discovery string, known *protocol.List) {
-	d.list.line.Addr = discovery
-	d.began = time.Now()
+// Start starts the decisions. Discovery is asked at its address; known is the list as it was last had.
+func (d *Desk) Start(seed uint64, discovery string, known *protocol.List) {
+	d.began, d.list.line = time.Now(), &transport.Line{Addr: discovery}
 	d.decide(func(now time.Duration) { d.opened.Start(d, now, seed) })
 	if known != nil && len(known.Targets) > 0 {
-		d.takeList(logic.Cached, known)
+		d.takeList(d.list.line, logic.Cached, known)
 	}
 	if d.tells.socket != nil {
 		go d.tells.socket.Serve(given.MostBytes, d.told)
 	}
-	d.front.Serve(d.client)
 }
 
+// Serve takes in clients until Close.
+func (d *Desk) Serve() { d.front.Serve(d.client) }
+
 // Close ends the gateway: connections go on coming for a while, then all that is taken is answered.
 func (d *Desk) Close() {
 	d.closing.Store(true)
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -12,11 +12,11 @@
 	"spanmux/logic"
 )
 
-// listing is what is known of the list; the desk's lock guards it but for line, which the watch has to itself.
+// listing is what is known of the list; the desk's lock guards it.
 type listing struct {
-	line     transport.Line
+	line     *transport.Line // to discovery; only the watch calls on it
 	rev      int64
-	has      bool // a list is in hand
+	has      bool // a list of this discovery is in hand
 	watching bool
 	ids      map[string]logic.HostID
 	uids     map[logic.HostID]string
@@ -31,27 +31,47 @@
 func (d *Desk) AskList() {
 	if !d.list.watching {
 		d.list.watching = true
-		d.then(func() { go d.watch() })
+		line := d.list.line
+		d.then(func() { go d.watch(line) })
 	}
 }
 
+// Rediscover has the list asked for at another address from now on. The call that is out at the old one may wait for
+// long yet, and what it brings, or its end, says nothing any more. Versions may not go on there: the first call is for
+// all.
+func (d *Desk) Rediscover(addr string) {
+	d.decide(func(time.Duration) {
+		if addr == d.list.line.Addr {
+			return
+		}
+		d.then(d.list.line.Close)
+		d.list.line, d.list.has, d.list.watching = &transport.Line{Addr: addr}, false, false
+		d.AskList()
+	})
+}
+
 // watch calls for the list until a call is lost. The next call comes at once, so that the watch goes on.
-func (d *Desk) watch() {
+func (d *Desk) watch(line *transport.Line) {
 	for {
 		d.mu.Lock()
-		target, wait := protocol.ListTarget, time.Duration(0)
+		target, wait, current := protocol.ListTarget, time.Duration(0), d.list.line == line
 		if d.list.has {
 			target, wait = protocol.WatchTarget(d.list.rev, watchWait), watchWait
 		}
 		d.mu.Unlock()
+		if !current {
+			return
+		}
 		called := time.Now()
-		list, err := d.callList(target, wait+listLate)
+		list, err := d.callList(line, target, wait+listLate)
 		if err != nil {
-			slog.Warn("list lost", "error", err)
-			d.Book.ListsLost.Add(1)
 			d.decide(func(now time.Duration) {
-				d.list.watching = false
-				d.opened.List(now, logic.Lost, nil)
+				if d.list.line == line {
+					d.list.watching = false
+					d.Book.ListsLost.Add(1)
+					d.then(func() { slog.Warn("list lost", "error", err) })
+					d.opened.List(now, logic.Lost, nil)
+				}
 			})
 			return
 		}
@@ -59,16 +79,16 @@
 		if list.All {
 			kind = logic.Whole
 		}
-		d.takeList(kind, list)
+		d.takeList(line, kind, list)
 		if len(list.Targets) == 0 && time.Since(called) < hurry { // one that does not wait is not called without a pause
 			time.Sleep(hurry)
 		}
 	}
 }
 
-func (d *Desk) callList(target string, within time.Duration) (list *protocol.List, err error) {
+func (d *Desk) callList(line *transport.Line, target string, within time.Duration) (list *protocol.List, err error) {
 	d.Book.Lists.Add(1)
-	err = d.list.line.Call(protocol.Call(target, d.list.line.Addr), within, func(r *bufio.Reader) (bool, error) {
+	err = line.Call(protocol.Call(target, line.Addr), within, func(r *bufio.Reader) (bool, error) {
 		body, status, keep, err := protocol.ReadList(r)
 		if err == nil && status != 200 {
 			err = fmt.Errorf("discovery answers %d", status)
@@ -81,9 +101,12 @@
 	return list, err
 }
 
-// takeList hands a list to the module.
-func (d *Desk) takeList(kind logic.ListKind, list *protocol.List) {
+// takeList hands a list to the module, unless discovery has moved since it was called for.
+func (d *Desk) takeList(line *transport.Line, kind logic.ListKind, list *protocol.List) {
 	d.decide(func(now time.Duration) {
+		if d.list.line != line {
+			return
+		}
 		var hosts []logic.Host
 		was := map[string]bool{}
 		for _, addr := range d.list.addr {
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -3,36 +3,77 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"time"
 )
 
-// Line is one connection that is used for call after call.
+// Line is one connection that is used for call after call, one at a time. Close may come at any time.
 type Line struct {
 	Addr string
-	nc   net.Conn
 	r    *bufio.Reader
+
+	mu     sync.Mutex
+	nc     net.Conn
+	closed bool
 }
 
 // Call writes a message and has its answer read, both within a time; after an error the line begins anew.
 func (l *Line) Call(message net.Buffers, within time.Duration,
 	read func(*bufio.Reader) (keep bool, err error)) error {
 	until := time.Now().Add(within)
-	if l.nc == nil {
-		nc, err := net.DialTimeout("tcp", l.Addr, min(within, lineUp))
-		if err != nil {
-			return err
-		}
-		l.nc, l.r = nc, bufio.NewReaderSize(nc, lineBuffer)
-	}
-	l.nc.SetDeadline(until)
+	nc, err := l.up(min(within, lineUp))
+	if err != nil {
+		return err
+	}
+	nc.SetDeadline(until)
 	keep := false
-	_, err := message.WriteTo(l.nc)
-	if err == nil {
+	if _, err = message.WriteTo(nc); err == nil {
 		keep, err = read(l.r)
 	}
 	if !keep || err != nil {
+		l.drop()
+	}
+	return err
+}
+
+// up gives the connection, a new one where there is none.
+func (l *Line) up(within time.Duration) (net.Conn, error) {
+	l.mu.Lock()
+	nc, closed := l.nc, l.closed
+	l.mu.Unlock()
+	if nc != nil {
+		return nc, nil
+	}
+	if closed {
+		return nil, net.ErrClosed
+	}
+	nc, err := net.DialTimeout("tcp", l.Addr, within)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed { // meanwhile
+		nc.Close()
+		return nil, net.ErrClosed
+	}
+	l.nc, l.r = nc, bufio.NewReaderSize(nc, lineBuffer)
+	return nc, nil
+}
+
+func (l *Line) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.nc != nil {
 		l.nc.Close()
 		l.nc = nil
 	}
-	return err
+}
+
+// Close ends the line and the call that is out on it.
+func (l *Line) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.drop()
 }
