A 4xx of a host goes to its client and no further, and speaks against no host

A probe printed how hops end: beside about 470 spoilt answers there are 221 hops answered 400 within some 30 microseconds, in groups of three hosts a transaction; they stem from bad clients whose messages read well but carry what hosts can't use. To blame: hop.end in internal/routing/relay.go took every answer but 200 and a marked 503 or 504 for an error of the host, so three hosts were charged for each such transaction.

Test: Example_declined.

--- a/internal/protocol/transaction.go
+++ b/internal/protocol/transaction.go
@@ -97,6 +97,7 @@
 type Answer struct {
 	Status   int
 	NeverRan bool // the host says that it has not begun
+	Declined bool // the host can't use the transaction, and no other could
 	Load     logic.Load
 	LoadErr  error // what is wrong with a report that came
 	Body     []byte
@@ -117,8 +118,11 @@
 	if report, ok := h.Get(loadField); ok {
 		a.Load, a.LoadErr = Load(report)
 	}
-	if a.Status == 200 {
-		a.head = h.appendFields(append(make([]byte, 0, h.size+16), "HTTP/1.1 200 OK\r\n"...))
+	// What a host finds wrong with a transaction is for the client to know. 408 and 429 tell of the host's own trouble,
+	// and 429 would promise the client that nothing has run.
+	a.Declined = a.Status >= 400 && a.Status < 500 && a.Status != 408 && a.Status != 429
+	if a.Status == 200 || a.Declined {
+		a.head = h.appendFields(appendStatus(make([]byte, 0, h.size+40), a.Status))
 	}
 	h.Skip(r)
 	a.Body, err = h.ReadBody(r, BodyMost)
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -72,9 +72,7 @@
 
 // Plain is an answer of the gateway's own; after is when to come back, 0 for no word on that.
 func Plain(status int, text string, after time.Duration, closing bool) net.Buffers {
-	head := append([]byte(nil), "HTTP/1.1 "...)
-	head = strconv.AppendInt(head, int64(status), 10)
-	head = append(append(append(head, ' '), http.StatusText(status)...), "\r\nContent-Type: text/plain\r\n"...)
+	head := append(appendStatus(nil, status), "Content-Type: text/plain\r\n"...)
 	if after > 0 {
 		head = append(head, "Retry-After: "...)
 		head = append(strconv.AppendFloat(head, after.Seconds(), 'f', 3, 64), "\r\n"...)
@@ -82,6 +80,11 @@
 	return gather(head, ending(len(text), closing), []byte(text))
 }
 
+func appendStatus(to []byte, status int) []byte {
+	to = strconv.AppendInt(append(to, "HTTP/1.1 "...), int64(status), 10)
+	return append(append(append(to, ' '), http.StatusText(status)...), "\r\n"...)
+}
+
 // ForClient is a host's answer as it is passed on.
 func (a *Answer) ForClient(closing bool) net.Buffers {
 	return gather(a.head, ending(len(a.Body), closing), a.Body)
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -15,17 +15,18 @@
 
 // Book counts what the gateway takes in, sends and answers.
 type Book struct {
-	Taken, Committed, RolledBack, Abandoned, Left count
-	TurnedAway, Wrong, Unwritten, ClientBroke     count
-	Hops                                          count
-	Ends                                          [logic.Moot + 1]count
-	Probes, Probed                                count
-	Lists, ListsLost                              count
-	Tells, Told, ToldWrong                        count
-	Untold                                        count
-	Microseconds                                  count // from taken to answered, of all together
-	lines                                         bound // of what comes from outside
-	says                                          bound // of the module
+	Taken, Committed, RolledBack, Abandoned   count
+	Left, Declined                            count
+	TurnedAway, Wrong, Unwritten, ClientBroke count
+	Hops                                      count
+	Ends                                      [logic.Moot + 1]count
+	Probes, Probed                            count
+	Lists, ListsLost                          count
+	Tells, Told, ToldWrong                    count
+	Untold                                    count
+	Microseconds                              count // from taken to answered, of all together
+	lines                                     bound // of what comes from outside
+	says                                      bound // of the module
 }
 
 // wrong counts bad input; what it was is logged within a bound.
@@ -55,12 +56,14 @@
 		n    *count
 	}{
 		{"tx_taken", &b.Taken}, {"tx_committed", &b.Committed}, {"tx_rolled_back", &b.RolledBack},
-		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_turned_away", &b.TurnedAway},
+		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_declined", &b.Declined},
+		{"tx_turned_away", &b.TurnedAway},
 		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops},
 		{"hops_committed", &b.Ends[logic.Committed]}, {"hops_error", &b.Ends[logic.Error]},
 		{"hops_full", &b.Ends[logic.Full]}, {"hops_timed_out", &b.Ends[logic.TimedOut]},
 		{"hops_no_connection", &b.Ends[logic.NoConnection]}, {"hops_broken", &b.Ends[logic.Broken]},
-		{"hops_called_off", &b.Ends[logic.CalledOff]}, {"probes", &b.Probes}, {"probes_answered", &b.Probed},
+		{"hops_called_off", &b.Ends[logic.CalledOff]}, {"hops_declined", &b.Ends[logic.Moot]},
+		{"probes", &b.Probes}, {"probes_answered", &b.Probed},
 		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
 		{"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
 		{"clients_accepted", &d.front.Accepted}, {"clients_crowded", &d.front.Crowded},
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"log/slog"
 	"net"
 	"time"
 
@@ -22,13 +23,17 @@
 		return endOf[how]
 	case h.answer.Status == 200:
 		return logic.Committed
+	case h.answer.Declined:
+		return logic.Moot
 	case h.answer.NeverRan:
 		return logic.Full
 	}
 	return logic.Error
 }
 
-// ended tells the module how a hop ended; the first that commits is the transaction's final answer.
+// ended tells the module how a hop ended; the first that commits is the transaction's final answer. One that its host
+// declines would be declined by all: that is final too, and says nothing against the host. Counted as errors, what bad
+// clients send would open the breakers of good hosts.
 func (d *Desk) ended(h *hop, how transport.How) {
 	end, load, took := h.end(how), logic.NoLoad, time.Since(h.sent)
 	if h.answer != nil {
@@ -43,6 +48,11 @@
 		d.Book.Ends[end].Add(1)
 		if end == logic.Committed && !t.answered {
 			d.answer(t, &d.Book.Committed, h.answer.ForClient)
+		} else if end == logic.Moot && !t.answered {
+			d.answer(t, &d.Book.Declined, h.answer.ForClient)
+			d.then(func() {
+				d.Book.wrong("declined by its host", slog.Int("status", h.answer.Status), slog.String("trace", t.said.Trace))
+			})
 		}
 		d.opened.HopEnded(now, t.id, h.number, logic.Result{End: end, Took: took, Load: load}, t.answered)
 		d.forget(t)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -98,6 +98,8 @@
 		w.WriteHeader(503)
 	case "busy":
 		w.WriteHeader(503)
+	case "decline":
+		http.Error(w, "no such thing", 400)
 	case "cut":
 		cut()
 	case "half":
@@ -262,6 +264,20 @@
 	// pay half: 504 "abandoned"
 }
 
+// What a host declines goes to the client as it is and to no other host, and speaks against none: the breakers would open
+// after five such errors in a row, and five more reads would try both hosts each.
+func Example_declined() {
+	s := play("one", "two")
+	for range 10 {
+		s.ask("read", "decline")
+	}
+	fmt.Println(s.lines[len(s.lines)-1])
+	fmt.Println("hops:", s.Book.Hops.Load(), "declined:", s.Book.Declined.Load(), "errors:", s.Book.Ends[logic.Error].Load())
+	// Output:
+	// read decline: 400 "no such thing"
+	// hops: 10 declined: 10 errors: 0
+}
+
 // A connection that never comes up proves that nothing ran: even a payment goes on, here to the other host.
 func Example_neverUp() {
 	s := play("down", "one")
