Connections of clients are closed in time and give way by what is lost; those to hosts are kept by host

By reading: internal/transport/front.go never closed a silent connection unless room ran out, let a begun message take 10 s, and gave way by age alone, so a crowd pushed out good clients; each connection had a 16 KiB buffer from the start; where those over the room were used up, accepting waited for up to a second. internal/transport/pool.go kept connections by address alone, so a host replaced at its address was sent transactions on connections to the one that had gone, and a reader that had taken bytes but not yet said so could have them read as the next answer.

Now: 2 s for a new client to say something, 2.5 s from connecting for its first message to be whole, 4 s idle; those whose last answer is written give way first, then the silent, torn and idle ones, never one on which something has come (looked at in the socket, taking nothing); one over the room takes a place when its message is whole; buffers are held only while a message is read. Host connections are kept by host and address, waited on without taking bytes, and looked at before each message.

Tests: Example_silent, ExampleClient_Whole, ExamplePool_Start, Example_behind. The test of a port that was open before used one that may be another's by then; it has a port of its own now.

--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -67,6 +67,7 @@
 		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
 		{"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
 		{"clients_accepted", &d.front.Accepted}, {"clients_crowded", &d.front.Crowded},
+		{"clients_gave_way", &d.front.GaveWay},
 		{"clients_broke", &b.ClientBroke}, {"hosts_connections", &d.pool.Opened},
 		{"hosts_connections_gave_way", &d.pool.GaveWay}, {"must_broken", &must.Broken},
 	} {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -33,7 +33,6 @@
 	mu    sync.Mutex
 	lines []string
 	lists chan string // what discovery answers next, "" for 503
-	shut  []func()
 }
 
 func play(hosts ...string) *stage { return playBy(settings, hosts...) }
@@ -56,7 +55,7 @@
 	for i, uid := range hosts {
 		at := s.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.host(uid, w, r) }))
 		if uid == "down" {
-			s.shut[len(s.shut)-1]()
+			at = "127.0.0.1:1" // a port that was open before might be another's by now
 		}
 		known.Targets = append(known.Targets, protocol.Entry{UID: uid, Endpoint: at, Zone: "a", Cell: i, State: "in_service"})
 	}
@@ -67,9 +66,7 @@
 }
 
 func (s *stage) listen(h http.Handler) string {
-	server := httptest.NewServer(h)
-	s.shut = append(s.shut, server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
+	return strings.TrimPrefix(httptest.NewServer(h).URL, "http://")
 }
 
 func (s *stage) say(format string, args ...any) {
@@ -367,6 +364,29 @@
 	// wrong: 6 taken: 0 told: 1 dropped: 2
 }
 
+// A client that says nothing, or never all, is told so or closed within 3 seconds; one that may come again is kept for longer.
+func Example_silent() {
+	s := play("one")
+	began := time.Now()
+	silent, half, idle := s.dial(), s.dial(), s.dial()
+	io.WriteString(half, "GET /read?go HTT")
+	io.WriteString(idle, "GET /ready HTTP/1.1\r\n\r\n")
+	s.get(idle, "idle")
+	s.get(silent, "silent")
+	s.get(half, "half")
+	s.say("in time: %t", time.Since(began) < 3*time.Second)
+	io.WriteString(idle, text("read", "again", ""))
+	s.get(idle, "idle")
+	s.print()
+	// Output:
+	// idle: 200 "ready"
+	// silent: closed
+	// half: 408 "message not whole in time", the last
+	// in time: true
+	// one: GET /read?again ""
+	// idle: 200 "answer to again"
+}
+
 // A watch goes on from the version in hand; a list that is lost or makes no sense leaves the old one standing, and it is
 // asked again. A host that drains gets nothing more.
 func Example_list() {
@@ -439,8 +459,9 @@
 		case <-r.Context().Done():
 		}
 	}))
+	old := s.list.line
 	s.Rediscover(moved)
-	s.lists <- `{"rev":9,"all":true,"targets":[]}`
+	s.takeList(old, logic.Whole, &protocol.List{Rev: 9})
 	lists <- `{"rev":3,"all":true,"targets":[{"uid":"two","az":"a","state":"terminating"}]}`
 	s.untilRev(3)
 	s.ask("read", "go")
@@ -451,7 +472,6 @@
 	s.print()
 	fmt.Println("lost:", s.Book.ListsLost.Load())
 	// Output:
-	// discovery: /v1/endpoints?index=4&wait=20000
 	// moved to: /v1/endpoints
 	// read go: 503 "rolled back"
 	// moved to: /v1/endpoints?index=3&wait=20000
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -42,13 +42,13 @@
 
 // start begins an exchange with a host once the lock is left.
 func (d *Desk) start(host logic.HostID, x *transport.Exchange) {
-	addr := d.list.addr[host]
+	to := d.list.target(host)
 	d.then(func() {
-		if addr == "" {
+		if to.Addr == "" {
 			x.Done(transport.NeverUp)
 			return
 		}
-		d.pool.Start(addr, x)
+		d.pool.Start(to, x)
 	})
 }
 
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -21,6 +21,8 @@
 		case err != nil:
 			d.answerWrong(c, err)
 			return
+		case !c.Whole():
+			return
 		case said.Own != "":
 			if d.own(c, said) != nil || said.Close || c.Over {
 				return
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -108,10 +108,7 @@
 			return
 		}
 		var hosts []logic.Host
-		was := map[string]bool{}
-		for _, addr := range d.list.addr {
-			was[addr] = true
-		}
+		was := d.list.targets()
 		if kind != logic.Changes {
 			d.list.addr = map[logic.HostID]string{}
 		}
@@ -135,15 +132,15 @@
 				delete(d.list.uids, id)
 			}
 		}
-		for _, addr := range d.list.addr {
-			delete(was, addr)
-		}
+		are := d.list.targets()
 		d.then(func() {
 			if kind != logic.Changes || len(list.Targets) > 0 {
 				slog.Info("list", "rev", list.Rev, "whole", kind != logic.Changes, "entries", len(list.Targets))
 			}
-			for addr := range was { // in any order: they are closed
-				d.pool.Close(addr)
+			for to := range was { // in any order: they are closed
+				if !are[to] {
+					d.pool.Close(to)
+				}
 			}
 			d.ready.Store(true)
 		})
@@ -151,6 +148,18 @@
 	})
 }
 
+func (l *listing) target(id logic.HostID) transport.Target {
+	return transport.Target{Host: uint32(id), Addr: l.addr[id]}
+}
+
+func (l *listing) targets() map[transport.Target]bool {
+	all := map[transport.Target]bool{}
+	for id := range l.addr {
+		all[l.target(id)] = true
+	}
+	return all
+}
+
 // number is a host's number, from its uid alone: all gateways tell each other of it by that. 0 stands for none.
 func (l *listing) number(uid string) (logic.HostID, bool) {
 	if id, known := l.ids[uid]; known {
--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -3,17 +3,21 @@
 import "time"
 
 const (
-	clientBuffer = 16 << 10               // bytes, of a client's connection: the longest head
-	hostBuffer   = 8 << 10                // bytes, of a host's: its heads are short
-	lineBuffer   = 16 << 10               // bytes, of the list's line: a list of some dozen hosts
-	sendBuffer   = 160 << 10              // bytes: a whole message with its head, so that writing it does not wait
-	idlePart     = 2                      // of the time for which hosts keep a connection: to it, not over it, we drop ours
-	lineUp       = 2 * time.Second        // for a line to come up: what vanished says nothing, however long calls may wait
-	acceptAgain  = 5 * time.Millisecond   // after an accept that went wrong: descriptors come free that fast
-	headWithin   = 10 * time.Second       // for a message to come whole once it has begun: far over any budget
-	crowdWithin  = time.Second            // for a client over the room to send what it came for
-	lastLook     = 50 * time.Millisecond  // for a message that has come to a connection about to close: some scheduling
-	lingerWithin = 500 * time.Millisecond // for a client to read a last answer before its connection is closed
-	lingerMost   = 1 << 20                // bytes of what it still sends meanwhile: far over any message
-	writeWithin  = 500 * time.Millisecond // for an answer to be written: it fits the socket's buffer as a rule
+	clientBuffer = 16 << 10                // bytes, of a client's connection: the longest head
+	hostBuffer   = 8 << 10                 // bytes, of a host's: its heads are short
+	lineBuffer   = 16 << 10                // bytes, of the list's line: a list of some dozen hosts
+	sendBuffer   = 160 << 10               // bytes: a whole message with its head, so that writing it does not wait
+	idlePart     = 2                       // of the time for which hosts keep a connection: to it, not over it, we drop ours
+	lineUp       = 2 * time.Second         // for a line to come up: what vanished says nothing, however long calls may wait
+	acceptAgain  = 5 * time.Millisecond    // after an accept that went wrong: descriptors come free that fast
+	silentMost   = 2 * time.Second         // for a new client to say something: it came in order to
+	idleMost     = 4 * time.Second         // for which a client that may come again is kept: it costs a socket
+	headWithin   = 2500 * time.Millisecond // for a message to come whole; a first one, from connecting: a word is owed in 3 s
+	crowdWithin  = 250 * time.Millisecond  // for a client over the room to send what it came for
+	speakWithin  = 20 * time.Millisecond   // before a new client that says nothing gives way: what it sends comes with it
+	tornWithin   = 250 * time.Millisecond  // before a message that is not whole gives way: it comes in one piece as a rule
+	lastLook     = 50 * time.Millisecond   // for a message that has come to a connection about to close: some scheduling
+	lingerWithin = 500 * time.Millisecond  // for a client to read a last answer before its connection is closed
+	lingerMost   = 1 << 20                 // bytes of what it still sends meanwhile: far over any message
+	writeWithin  = 500 * time.Millisecond  // for an answer to be written: it fits the socket's buffer as a rule
 )
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -23,19 +23,39 @@
 	closing  bool
 	Accepted atomic.Int64
 	Crowded  atomic.Int64 // connections over the room
+	GaveWay  atomic.Int64 // those closed for others
 }
 
-// Client is a client's connection. Over marks one for which there is no room: it gets one answer.
+// Client is a client's connection. Over marks one for which there is no room: it gets one answer. R holds from Await to
+// Watch: one that says nothing has no buffer.
 type Client struct {
 	R     *bufio.Reader
 	Over  bool
 	front *Front
 	nc    net.Conn
-	idle  time.Time // since when nothing is owed on it, zero while something is
-	shut  bool      // closed while idle
-	place bool      // it has one in the room
+	see   sight
+	came  time.Time
+
+	doing doing // guarded by the front, as is all below
+	since time.Time
+	spoke bool // a message of it has come whole
+	shut  bool // closed while nothing was owed
+	place bool // it has one in the room
 }
 
+// doing is what a client's connection is at, in the order in which they give way to others.
+type doing int
+
+const (
+	ended  doing = iota // its last answer is written
+	silent              // new, and nothing has come yet
+	torn                // a message has begun and is not whole
+	idle                // between messages
+	owed                // a message waits for its answer
+)
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientBuffer) }}
+
 // Listen opens a front for so many clients in the room; crowd is how many over that may be open, each to be turned away
 // with one answer.
 func Listen(addr string, room *Room, most, crowd int) (*Front, error) {
@@ -65,10 +85,9 @@
 		}
 		f.Accepted.Add(1)
 		nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
-		c := &Client{front: f, nc: nc, R: bufio.NewReaderSize(nc, clientBuffer)}
-		if c.Over = !f.enter(); c.Over {
-			f.Crowded.Add(1)
-			f.over <- struct{}{} // where even these are too many, the next wait to be accepted
+		c := &Client{front: f, nc: nc, see: sightOf(nc), came: time.Now(), doing: silent, since: time.Now()}
+		for c.Over = !f.enter(); c.Over && !f.crowd(); c.Over = !f.enter() {
+			time.Sleep(acceptAgain) // where even these are too many, the next wait to be accepted
 		}
 		f.mu.Lock()
 		f.open[c] = struct{}{}
@@ -83,6 +102,17 @@
 	}
 }
 
+// crowd takes a place over the room.
+func (f *Front) crowd() bool {
+	select {
+	case f.over <- struct{}{}:
+		f.Crowded.Add(1)
+		return true
+	default:
+		return false
+	}
+}
+
 // enter takes a place for a client. Beyond their share clients give way only to each other: what is left is for
 // hosts, without whom no client is answered.
 func (f *Front) enter() bool {
@@ -101,23 +131,69 @@
 	if !c.Over {
 		c.front.in--
 	}
+	place := c.place
 	c.front.mu.Unlock()
 	c.nc.Close()
+	c.release()
 	switch {
 	case c.Over:
 		<-c.front.over
-	case c.place:
+	case place:
 		c.front.room.Leave()
 	}
 }
 
-// Await waits for the first byte of a message. Until it comes the connection may be closed.
+// release gives the buffer back.
+func (c *Client) release() {
+	if c.R != nil {
+		c.R.Reset(nil)
+		readers.Put(c.R)
+		c.R = nil
+	}
+}
+
+// becomes notes what the connection is at from now on; it is false where the front has closed it.
+func (c *Client) becomes(doing doing) bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	c.doing, c.since = doing, time.Now()
+	c.spoke = c.spoke || doing == owed
+	return !c.shut
+}
+
+// Await waits for the first byte of a message. Until it comes the connection may be closed, and is where it has nothing to say
+// for long.
 func (c *Client) Await() error {
+	if c.R == nil || c.R.Buffered() == 0 {
+		c.release()
+		if err := c.quiet(); err != nil {
+			return err
+		}
+		c.R = readers.Get().(*bufio.Reader)
+		c.R.Reset(c.nc)
+	}
+	if !c.becomes(torn) { // closed just as something came: unread, the client sends it again elsewhere
+		return net.ErrClosed
+	}
+	switch {
+	case c.Over:
+		return c.nc.SetReadDeadline(time.Now().Add(crowdWithin))
+	case c.spoke:
+		return c.nc.SetReadDeadline(time.Now().Add(headWithin))
+	}
+	return c.nc.SetReadDeadline(c.came.Add(headWithin))
+}
+
+// quiet waits while nothing is owed.
+func (c *Client) quiet() error {
+	until := c.came.Add(silentMost)
+	if c.spoke {
+		until = time.Now().Add(idleMost)
+		c.becomes(idle)
+	}
 	c.front.mu.Lock()
-	c.idle = time.Now()
 	closing := c.front.closing
 	c.front.mu.Unlock()
-	until := time.Time{}
 	switch {
 	case closing:
 		until = time.Now().Add(lastLook)
@@ -125,24 +201,36 @@
 		until = time.Now().Add(crowdWithin)
 	}
 	c.nc.SetReadDeadline(until)
-	_, err := c.R.Peek(1)
-	c.front.mu.Lock()
-	c.idle = time.Time{}
-	if c.shut { // just as something came: unread, the client sends it again elsewhere
-		err = net.ErrClosed
-	}
-	c.front.mu.Unlock()
-	if err == nil {
-		err = c.nc.SetReadDeadline(time.Now().Add(headWithin))
+	err := c.see.wait()
+	if err != nil && c.see.any() { // as its time was up
+		err = nil
 	}
 	return err
 }
 
+// Whole says that a message has come whole and is owed an answer. One over the room takes a place now if others only sit on
+// theirs. It is false where the connection has been closed.
+func (c *Client) Whole() bool {
+	open := c.becomes(owed)
+	if c.Over && c.front.enter() {
+		c.Over = false
+		c.front.mu.Lock()
+		c.place = true
+		c.front.in++
+		c.front.mu.Unlock()
+		<-c.front.over
+	}
+	return open
+}
+
 // Watch waits until the client closes, or sends more than it should; a message is whole now.
 func (c *Client) Watch() error {
+	if c.R.Buffered() > 0 {
+		return nil
+	}
+	c.release()
 	c.nc.SetReadDeadline(time.Time{})
-	_, err := c.R.Peek(1)
-	return err
+	return c.see.wait()
 }
 
 // Write answers the client.
@@ -155,7 +243,7 @@
 // End writes a last answer and lets the client read it: closed with input unread the connection would be reset, and
 // the answer lost with it.
 func (c *Client) End(b net.Buffers) {
-	if c.Write(b) == nil && c.nc.(*net.TCPConn).CloseWrite() == nil {
+	if c.Write(b) == nil && c.nc.(*net.TCPConn).CloseWrite() == nil && c.becomes(ended) {
 		c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
 		io.CopyN(io.Discard, c.nc, lingerMost)
 	}
@@ -164,27 +252,46 @@
 // Close ends the connection.
 func (c *Client) Close() { c.nc.Close() }
 
-// closeIdle closes the connection that has been idle longest.
+// gives tells whether a connection may be closed for another now. One that has said nothing may have been accepted just
+// before what it sends is read; nothing may be closed on which something has come.
+func (c *Client) gives(now time.Time) bool {
+	switch c.doing {
+	case ended:
+		return true
+	case silent:
+		return now.Sub(c.since) >= speakWithin && !c.see.any()
+	case torn:
+		return now.Sub(c.since) >= tornWithin
+	case idle:
+		return !c.see.any()
+	}
+	return false
+}
+
+// closeIdle closes the connection of which least is lost: crowds that say nothing, or never all, must not cost others theirs.
 func (f *Front) closeIdle() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var oldest *Client
-	for c := range f.open { // in any order: the oldest is the same
-		if !c.Over && !c.idle.IsZero() && (oldest == nil || c.idle.Before(oldest.idle)) {
-			oldest = c
+	var least *Client
+	now := time.Now()
+	for c := range f.open { // in any order: the least is the same
+		if c.place && !c.shut && (least == nil || c.doing < least.doing ||
+			c.doing == least.doing && c.since.Before(least.since)) && c.gives(now) {
+			least = c
 		}
 	}
-	if oldest == nil {
+	if least == nil {
 		return false
 	}
-	oldest.shutIdle()
-	oldest.place = false // it is the newcomer's
+	least.shutNow()
+	least.place = false // it is the newcomer's
+	f.GaveWay.Add(1)
 	return true
 }
 
-// shutIdle closes a connection on which nothing is owed.
-func (c *Client) shutIdle() {
-	c.idle, c.shut = time.Time{}, true
+// shutNow closes a connection on which nothing is owed.
+func (c *Client) shutNow() {
+	c.shut = true
 	c.nc.Close()
 }
 
@@ -202,8 +309,8 @@
 	defer f.mu.Unlock()
 	f.closing = true
 	for c := range f.open {
-		if !c.idle.IsZero() {
-			c.shutIdle()
+		if (c.doing == silent || c.doing == idle) && !c.see.any() {
+			c.shutNow()
 		}
 	}
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,27 +56,35 @@
 	return !x.given
 }
 
-// Pool keeps the connections to hosts, by address. The one used last is used first, so that few are kept.
+// Target is a host as the pool knows it. Another host may come to the address of one that has gone: what is open to that
+// one must not serve it.
+type Target struct {
+	Host uint32
+	Addr string
+}
+
+// Pool keeps the connections to hosts. The one used last is used first, so that few are kept.
 type Pool struct {
 	room    *Room
 	within  time.Duration // for a connection to come up
 	idle    time.Duration // for which one is kept idle
 	mu      sync.Mutex
-	free    map[string][]*hostConn
+	free    map[Target][]*hostConn
 	Opened  atomic.Int64
 	GaveWay atomic.Int64 // idle connections closed for others
 }
 
 func NewPool(room *Room, connectWithin, hostsKeepIdle time.Duration) *Pool {
-	p := &Pool{room: room, within: connectWithin, idle: hostsKeepIdle / idlePart, free: map[string][]*hostConn{}}
+	p := &Pool{room: room, within: connectWithin, idle: hostsKeepIdle / idlePart, free: map[Target][]*hostConn{}}
 	room.GiveWay(p.closeIdle)
 	return p
 }
 
 type hostConn struct {
 	pool *Pool
-	addr string
+	to   Target
 	nc   net.Conn
+	see  sight
 	r    *bufio.Reader
 
 	since  time.Time // idle since then; guarded by the pool, as is handed
@@ -87,28 +96,26 @@
 	dead  bool
 }
 
-// Start sends an exchange to an address, on a connection that is idle or on a new one.
-func (p *Pool) Start(addr string, x *Exchange) {
-	for c := p.take(addr); c != nil; c = p.take(addr) {
+// Start sends an exchange to a host, on a connection that is idle or on a new one.
+func (p *Pool) Start(to Target, x *Exchange) {
+	for c := p.take(to); c != nil; c = p.take(to) {
 		if c.send(x) {
 			return
 		}
 	}
-	go p.dial(addr, x)
+	go p.dial(to, x)
 }
 
 // take gives the idle connection that was used last.
-func (p *Pool) take(addr string) *hostConn {
+func (p *Pool) take(to Target) *hostConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	free := p.free[addr]
+	free := p.free[to]
 	if len(free) == 0 {
 		return nil
 	}
 	c := free[len(free)-1]
-	if p.free[addr] = free[:len(free)-1]; len(free) == 1 {
-		delete(p.free, addr) // addresses come and go with hosts
-	}
+	p.keep(to, free[:len(free)-1])
 	return c
 }
 
@@ -117,7 +124,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.since = time.Now()
-	p.free[c.addr] = append(p.free[c.addr], c)
+	p.free[c.to] = append(p.free[c.to], c)
+}
+
+// keep is what is idle to a host from now on. Hosts come and go: one to which nothing is idle leaves no trace.
+func (p *Pool) keep(to Target, free []*hostConn) {
+	if p.free[to] = free; len(free) == 0 {
+		delete(p.free, to)
+	}
 }
 
 // drop forgets a connection that is closed.
@@ -133,12 +147,9 @@
 }
 
 func (p *Pool) forget(c *hostConn) {
-	free := p.free[c.addr]
-	for i, other := range free {
-		if other == c {
-			p.free[c.addr] = append(free[:i], free[i+1:]...)
-			return
-		}
+	free := p.free[c.to]
+	if i := slices.Index(free, c); i >= 0 {
+		p.keep(c.to, slices.Delete(free, i, i+1))
 	}
 }
 
@@ -162,14 +173,14 @@
 	return true
 }
 
-// Close closes the idle connections to an address where nothing more is sent.
-func (p *Pool) Close(addr string) {
-	for c := p.take(addr); c != nil; c = p.take(addr) {
+// Close closes the idle connections to a host to which nothing more is sent.
+func (p *Pool) Close(to Target) {
+	for c := p.take(to); c != nil; c = p.take(to) {
 		c.nc.Close()
 	}
 }
 
-func (p *Pool) dial(addr string, x *Exchange) {
+func (p *Pool) dial(to Target, x *Exchange) {
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(x.Until, time.Now().Add(p.within)))
 	defer cancel()
 	if !x.stopBy(cancel) {
@@ -180,7 +191,7 @@
 		x.Done(NeverUp)
 		return
 	}
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.room.Leave()
 		x.Done(NeverUp)
@@ -188,8 +199,10 @@
 	}
 	p.Opened.Add(1)
 	nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
-	c := &hostConn{pool: p, addr: addr, nc: nc, r: bufio.NewReaderSize(nc, hostBuffer)}
-	must.Hold(c.send(x), "a new connection takes a message")
+	c := &hostConn{pool: p, to: to, nc: nc, see: sightOf(nc), r: bufio.NewReaderSize(nc, hostBuffer)}
+	if !c.send(x) { // its host speaks, or ends it, unasked
+		x.Done(NotWritten)
+	}
 	c.serve()
 }
 
@@ -200,11 +213,13 @@
 	return b
 }
 
-// send writes the message; it is false if the connection has died idle and nothing was written.
+// send writes the message; it is false if the connection has died idle, or is of no more use, and nothing was written. What
+// has come by then, behind an answer that was whole, must not be read as the answer to this message.
 func (c *hostConn) send(x *Exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead {
+	if c.dead || c.see.any() {
+		c.dead = true
 		return false
 	}
 	must.Hold(c.out == nil, "one exchange a connection")
@@ -226,7 +241,7 @@
 func (c *hostConn) serve() {
 	defer c.pool.drop(c)
 	for {
-		_, err := c.r.Peek(1)
+		err := c.see.wait()
 		x, whole, late := c.await(err)
 		if late {
 			continue
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -41,6 +41,10 @@
 
 // talk sends one line and waits for how that ends.
 func talk(p *Pool, addr, line string, within time.Duration, giveUp bool) {
+	talkTo(p, Target{Addr: addr}, line, within, giveUp)
+}
+
+func talkTo(p *Pool, to Target, line string, within time.Duration, giveUp bool) {
 	done, answer := make(chan How, 2), ""
 	x := &Exchange{Message: func() net.Buffers { return net.Buffers{[]byte(line), []byte("\n")} },
 		Until: time.Now().Add(within), Done: func(how How) { done <- how },
@@ -50,7 +54,7 @@
 			return true, err
 		}}
 	opened := p.Opened.Load()
-	p.Start(addr, x)
+	p.Start(to, x)
 	if giveUp {
 		until(func() bool { return p.Opened.Load() > opened })
 		x.GiveUp()
@@ -77,7 +81,7 @@
 	p := NewPool(NewRoom(2), ever, time.Second)
 	talk(p, addr, "first", ever, false)
 	talk(p, addr, "on the same", ever, false)
-	p.Close(addr)
+	p.Close(Target{Addr: addr})
 	talk(p, addr, "cut", ever, false)
 	talk(p, addr, "hang", 300*time.Millisecond, false)
 	talk(p, addr, "called off", ever, true)
@@ -98,6 +102,49 @@
 	// open: 0
 }
 
+// A host that comes to the address of another is another: what is open to that one does not serve it.
+func ExamplePool_Start() {
+	host := func(answer string) func(net.Conn, *bufio.Reader) {
+		return func(nc net.Conn, r *bufio.Reader) {
+			for _, err := r.ReadString('\n'); err == nil; _, err = r.ReadString('\n') {
+				fmt.Fprintln(nc, answer)
+			}
+		}
+	}
+	addr, end := script(host("the first's"), host("the successor's"))
+	defer end()
+	p := NewPool(NewRoom(3), ever, ever)
+	first, second := Target{1, addr}, Target{2, addr}
+	talkTo(p, first, "first", ever, false)
+	talkTo(p, second, "to its successor", ever, false)
+	talkTo(p, first, "second", ever, false)
+	p.Close(first)
+	p.Close(second)
+	until(func() bool { return p.room.Used() == 0 })
+	fmt.Println("kept of hosts that have gone:", len(p.free))
+	// Output:
+	// first: answered "the first's\n", 1 opened
+	// to its successor: answered "the successor's\n", 2 opened
+	// second: answered "the first's\n", 2 opened
+	// kept of hosts that have gone: 0
+}
+
+// What comes behind an answer is not read as the answer to the next message, even if it is sent before the connection's
+// goroutine has seen it; there is none here.
+func Example_behind() {
+	addr, end := script(func(nc net.Conn, r *bufio.Reader) { fmt.Fprintln(nc, "noise"); r.ReadByte() })
+	defer end()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	defer nc.Close()
+	c := &hostConn{nc: nc, see: sightOf(nc), r: bufio.NewReader(nc)}
+	until(c.see.any)
+	fmt.Println("sent:", c.send(&Exchange{Until: time.Now().Add(ever), Message: func() net.Buffers { return nil }}))
+	// Output: sent: false
+}
+
 // An exchange given up before it is written is not written.
 func ExampleExchange_GiveUp() {
 	addr, end := script(func(nc net.Conn, r *bufio.Reader) {
@@ -108,25 +155,23 @@
 	done := make(chan How)
 	x := &Exchange{Until: time.Now().Add(time.Second), Done: func(how How) { done <- how }}
 	x.GiveUp()
-	NewPool(NewRoom(2), ever, time.Second).Start(addr, x)
+	NewPool(NewRoom(2), ever, time.Second).Start(Target{Addr: addr}, x)
 	fmt.Println(hows[<-done])
 	// Output: given up
 }
 
-// Idle connections to hosts give way to clients, and idle clients to new ones; part of the room is for hosts. A client
-// for whom there is no room is told so.
-func ExampleFront() {
-	room := NewRoom(3)
-	addr, end := script(func(nc net.Conn, r *bufio.Reader) { r.ReadString('\n'); fmt.Fprintln(nc, "hi"); r.ReadByte() })
-	defer end()
-	p := NewPool(room, ever, time.Minute)
-	f, err := Listen("127.0.0.1:0", room, 3, 1)
+// front is one that answers lines.
+func front(room *Room, most int) *Front {
+	f, err := Listen("127.0.0.1:0", room, most, 1)
 	if err != nil {
 		panic(err)
 	}
 	go f.Serve(func(c *Client) {
 		for c.Await() == nil {
-			if line, _ := c.R.ReadString('\n'); c.Over {
+			line, err := c.R.ReadString('\n')
+			if err != nil || !c.Whole() {
+				return
+			} else if c.Over {
 				c.Write(net.Buffers{[]byte("no room\n")})
 				return
 			} else if line == "stay\n" {
@@ -135,11 +180,76 @@
 			c.Write(net.Buffers{[]byte("ok\n")})
 		}
 	})
+	return f
+}
+
+func say(nc net.Conn, more string) {
+	fmt.Fprintln(nc, "go")
+	nc.SetReadDeadline(time.Now().Add(ever))
+	text, _ := bufio.NewReader(nc).ReadString('\n')
+	fmt.Printf("go: %q, %s\n", text, more)
+}
+
+// Clients that say nothing, or never all, give way before one that may come again; and one over the room takes the place
+// of such a one as soon as it has said what it came for. Crowds of them would take all the room else.
+func ExampleClient_Whole() {
+	f := front(NewRoom(2), 2)
+	dial := func() net.Conn {
+		accepted := f.Accepted.Load()
+		nc, _ := net.Dial("tcp", f.Addr())
+		until(func() bool { return f.Accepted.Load() > accepted })
+		return nc
+	}
+	known := dial()
+	say(known, "known")
+	dial()
+	time.Sleep(2 * speakWithin)
+	half := dial()
+	say(half, "for one that said nothing")
+	fmt.Fprint(half, "ha")
+	time.Sleep(tornWithin + speakWithin)
+	third := dial()
+	say(third, "for one that sent half")
+	say(known, "still there")
+	fmt.Fprintln(known, "stay")
+	fmt.Fprintln(third, "stay")
+	until(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n := 0
+		for c := range f.open {
+			if c.doing == owed {
+				n++
+			}
+		}
+		return n == 2
+	})
+	over := dial()
+	say(third, "answered, and soon idle")
+	say(over, "over the room until it spoke")
+	f.Shut()
+	// Output:
+	// go: "ok\n", known
+	// go: "ok\n", for one that said nothing
+	// go: "ok\n", for one that sent half
+	// go: "ok\n", still there
+	// go: "ok\n", answered, and soon idle
+	// go: "ok\n", over the room until it spoke
+}
+
+// Idle connections to hosts give way to clients, and idle clients to new ones; part of the room is for hosts. A client
+// for whom there is no room is told so.
+func ExampleFront() {
+	room := NewRoom(3)
+	addr, end := script(func(nc net.Conn, r *bufio.Reader) { r.ReadString('\n'); fmt.Fprintln(nc, "hi"); r.ReadByte() })
+	defer end()
+	p := NewPool(room, ever, time.Minute)
+	f := front(room, 3)
 	idle := func() (n int) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for c := range f.open {
-			if !c.idle.IsZero() {
+			if c.place && (c.doing == silent || c.doing == idle) {
 				n++
 			}
 		}
@@ -150,12 +260,6 @@
 		until(func() bool { return idle() == left })
 		fmt.Println("held, idle:", idle())
 	}
-	say := func(nc net.Conn, more string) {
-		fmt.Fprintln(nc, "go")
-		nc.SetReadDeadline(time.Now().Add(ever))
-		text, _ := bufio.NewReader(nc).ReadString('\n')
-		fmt.Printf("go: %q, %s\n", text, more)
-	}
 	dial := func(left int) net.Conn {
 		nc, _ := net.Dial("tcp", f.Addr())
 		until(func() bool { return idle() == left })
@@ -171,7 +275,7 @@
 	fourth := dial(1)
 	stay(fourth, 0)
 	say(first, "closed, as it gave way")
-	say(dial(1), "over the room")
+	say(dial(0), "over the room")
 	second.Close()
 	third.Close()
 	fourth.Close()
