At a start nothing is rolled back by a guess of slots, and no work learnt by it

A probe printed what the module takes for true each second: before any host was seen full it counts (hops+1)/2 as the crowd; at 18 hops on five slots that is 9.5 instead of 3.6, so the time of a profile was learnt as 45 ms where it is 85, and patience, 2.2 times that, fell to 99 ms: less than one hop at an idle host. To blame: learn, expect and admitted in logic/logic.go. Excluded: want of capacity (the same load is carried a second later, hosts of two zones stood idle), breakers (none open yet).

Now, where probes report slots and none of a kind was seen full yet, nothing is rolled back on arrival by that guess, work is learnt only where slots are to spare, and a host is probed as hops pile up there.

Test: Example_slotsUnknown.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
+	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -130,13 +131,6 @@
 
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
-// missed goes on to the next drawer after so many answers in a row that did not come.
-func (g *group) missed(most int) {
-	if g.misses++; g.misses >= most {
-		g.skip, g.misses = g.skip+1, 0
-	}
-}
-
 func (b *Balancer) ask(t *tx) {
 	b.asking = append(b.asking, t)
 	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
@@ -268,8 +262,10 @@
 	case Committed:
 		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
-		work.add(took/crowd/h.pace.value, workStep)
-		h.learnPace(took / crowd / work.value)
+		if crowd == 1 || !b.guesses(h) {
+			work.add(took/crowd/h.pace.value, workStep)
+			h.learnPace(took / crowd / work.value)
+		}
 	case TimedOut, CalledOff:
 		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
 		bad = took > overdue*work.value*crowd
@@ -294,11 +290,6 @@
 	}
 }
 
-func (h *host) learnPace(p float64) {
-	h.model.pace.add(p, workStep)
-	h.pace.add(p, paceStep)
-}
-
 // slowness is the pace, bounded: a burst that is over before its last hop ends makes a host look fast.
 func (h *host) slowness() float64 { return max(h.pace.value, likeLeast*h.model.pace.value) }
 
@@ -358,6 +349,10 @@
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
 
+// guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be far
+// less than it is by it, and a full second's transactions were turned away.
+func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
+
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
 }
@@ -445,8 +440,7 @@
 		t := &a.tenants[i]
 		portion := t.quota * max(1/gateways, parts[len(parts)/2])
 		t.greedy = t.rate.value > greedyFrom*portion
-		grant := portion * overSlack
-		t.tokens = min(max(t.tokens, 0)+grant, 2*grant)
+		t.tokens = min(max(t.tokens, 0)+portion*overSlack, 2*portion*overSlack)
 	}
 }
 
@@ -502,23 +496,22 @@
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
-// admitted is the host for a new transaction, nil where it is rolled back. One long unheard of is worth
-// a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
+// admitted is the host for a new transaction, nil where it is rolled back: not on a guess. One long unheard of
+// is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
 func (b *Balancer) admitted(t *tx) *host {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
-	if h == nil || e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
+	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
 		return nil
 	}
 	return h
 }
 
 func (b *Balancer) start(t *tx) {
-	h := b.admitted(t)
-	switch {
+	switch h := b.admitted(t); {
 	case t.done:
 	case h != nil:
 		b.send(t, h)
@@ -535,6 +528,9 @@
 	if h.own++; h.own == 1 {
 		h.waiting = b.now
 	}
+	if all := h.own + h.others; b.guesses(h) && all >= askFrom && all%(askFrom/2) == 0 {
+		b.out.Probe(h.ID) // it may be full by now
+	}
 	b.unsaid(h)
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.out(), then: func() {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -42,6 +42,37 @@
 	// 1299 tx 3 abandoned
 }
 
+// At a start a host's slots are a guess: nothing is rolled back by it, and no work is learnt by it. As hops pile up there the
+// host is probed, and what that shows holds from then on.
+func Example_slotsUnknown() {
+	s := startAmong(2, 0, logic.Sources{Probes: true}, []logic.Profile{read}, nil, host(1, "a", 1))
+	s.quiet = true
+	for id := 1; id <= 7; id++ {
+		s.take(id, 0, -1)
+	}
+	s.quiet = false
+	s.take(8, 0, -1)
+	s.end(2, 0, logic.Committed, 200*ms) // among eight on four slots; by the guess 44 ms of work
+	s.end(3, 0, logic.Committed, 200*ms)
+	s.Probed(s.now, 1, logic.Load{Held: 8, Waiting: 4, Busy: -1})
+	for id := 9; id <= 15; id++ {
+		s.take(id, 0, -1)
+	}
+	s.print()
+	fmt.Println("hops:", s.hopsTo)
+	// Output:
+	// 1000 probe 1
+	// 1000 tx 8 hop to 1 for 1000
+	// 1000 tx 9 hop to 1 for 1000
+	// 1000 tx 10 hop to 1 for 1000
+	// 1000 tx 11 hop to 1 for 1000
+	// 1000 tx 12 hop to 1 for 1000
+	// 1000 tx 13 rolled back, come back after 100
+	// 1000 tx 14 rolled back, come back after 100
+	// 1000 tx 15 rolled back, come back after 100
+	// hops: map[1:12]
+}
+
 // Rule 3: from the moment it is told a gateway sends nothing to a host that drains or is gone.
 func Example_drain() {
 	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
--- a/logic/state.go
+++ b/logic/state.go
@@ -306,6 +306,13 @@
 	misses int      // answers in a row that did not come
 }
 
+// missed goes on to the next drawer after so many answers in a row that did not come.
+func (g *group) missed(most int) {
+	if g.misses++; g.misses >= most {
+		g.skip, g.misses = g.skip+1, 0
+	}
+}
+
 type heldBy struct {
 	hops int
 	at   time.Duration
@@ -354,6 +361,11 @@
 	}
 }
 
+func (h *host) learnPace(p float64) {
+	h.model.pace.add(p, workStep)
+	h.pace.add(p, paceStep)
+}
+
 // dueBy is when all its open breakers are due for a trial.
 func (h *host) dueBy(profile int) (by time.Duration) {
 	for _, k := range h.breakers(profile) {
