A watch's call waits 3 s for few gateways, so that one fallen silent is noticed in time

To blame: watchWait of 20 s and listLate of 2 s in internal/routing/bounds.go: for 22 s a silent watch looks like one with nothing to tell. Excluded: the list itself (other gateways had it).

Now a call waits 3 s, or 0.1 s for each gateway where there are many, 20 s at the most, and is lost 1.5 s after that.

Test: Example_list.

--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -6,20 +6,22 @@
 	// origin is where the module's clock stands at the start. A host that has started within this time before the
 	// gateway is known to have; any warm-up is far shorter.
 	origin       = time.Hour
-	timeAside    = 5 * time.Millisecond   // of a budget, for the way back: the client's clock started when it sent
-	probeWithin  = 500 * time.Millisecond // after which the load of a host is no news
-	askWithin    = 10 * time.Second       // without asking for the list, where the settings name no bound: a drain's time
-	watchWait    = 20 * time.Second       // of a watch's call: long, as each costs discovery, and ended by any change
-	listLate     = 2 * time.Second        // after which a call counts as lost, over what it may wait
-	hurry        = 100 * time.Millisecond // before the next call where one brought nothing: within the 200 ms of a watch
-	usualSockets = 1024                   // what a process may have open where nothing is said of it
-	usualIdle    = 4 * time.Second        // for which hosts keep a connection, ditto: a short one among servers
-	usualConnect = time.Second            // for a connection to come up, ditto: one lost packet's time
-	usualLongest = 3 * time.Second        // a hard limit, ditto: the longest of the protocol
-	spareSockets = 16                     // beside those of clients and hosts: list, tells, files, those about to close
-	crowdPart    = 16                     // one socket in so many is for clients that are turned away
-	hostsPart    = 4                      // one in so many of the others is left to hosts, whatever clients take
-	comeOn       = 600 * time.Millisecond // for which connections go on coming after the word to end: fronts lag
-	endPoll      = 10 * time.Millisecond  // between looks whether all clients have gone: far less than an answer takes
-	linesMost    = 20                     // log lines of one sort a second: enough to see what it is
+	timeAside    = 5 * time.Millisecond    // of a budget, for the way back: the client's clock started when it sent
+	probeWithin  = 500 * time.Millisecond  // after which the load of a host is no news
+	askWithin    = 10 * time.Second        // without asking for the list, where the settings name no bound: a drain's time
+	watchWait    = 3 * time.Second         // of a watch's call: one that has fallen silent is known no sooner
+	watchEach    = 100 * time.Millisecond  // of that for each gateway, as all together ask one discovery
+	watchMost    = 20 * time.Second        // of that, however many there are
+	listLate     = 1500 * time.Millisecond // after which a call counts as lost, over what it may wait: far over its way
+	hurry        = 100 * time.Millisecond  // before the next call where one brought nothing: within the 200 ms of a watch
+	usualSockets = 1024                    // what a process may have open where nothing is said of it
+	usualIdle    = 4 * time.Second         // for which hosts keep a connection, ditto: a short one among servers
+	usualConnect = time.Second             // for a connection to come up, ditto: one lost packet's time
+	usualLongest = 3 * time.Second         // a hard limit, ditto: the longest of the protocol
+	spareSockets = 16                      // beside those of clients and hosts: list, tells, files, those about to close
+	crowdPart    = 16                      // one socket in so many is for clients that are turned away
+	hostsPart    = 4                       // one in so many of the others is left to hosts, whatever clients take
+	comeOn       = 600 * time.Millisecond  // for which connections go on coming after the word to end: fronts lag
+	endPoll      = 10 * time.Millisecond   // between looks whether all clients have gone: far less than an answer takes
+	linesMost    = 20                      // log lines of one sort a second: enough to see what it is
 )
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -401,23 +401,25 @@
 	s.lists <- ""
 	s.until("two lists lost", func() bool { return s.Book.ListsLost.Load() == 2 })
 	s.ask("read", "go")
+	s.say("waits among 4, 59, 1250 gateways: %s, %s, %s", watchFor(4), watchFor(59), watchFor(1250))
 	s.lists <- `{"rev":7,"all":true,"targets":[]}`
 	s.untilRev(7)
 	s.ask("read", "go")
 	s.print()
 	// Output:
-	// discovery: /v1/endpoints?index=4&wait=20000
+	// discovery: /v1/endpoints?index=4&wait=3000
 	// two: GET /read?go ""
 	// read go: 200 "answer to go"
 	// two: GET /read?go ""
 	// read go: 200 "answer to go"
 	// two: GET /read?go ""
 	// read go: 200 "answer to go"
-	// discovery: /v1/endpoints?index=5&wait=20000
-	// discovery: /v1/endpoints?index=5&wait=20000
+	// discovery: /v1/endpoints?index=5&wait=3000
+	// discovery: /v1/endpoints?index=5&wait=3000
 	// two: GET /read?go ""
 	// read go: 200 "answer to go"
-	// discovery: /v1/endpoints?index=5&wait=20000
+	// waits among 4, 59, 1250 gateways: 3s, 5.9s, 20s
+	// discovery: /v1/endpoints?index=5&wait=3000
 	// read go: 503 "rolled back"
 }
 
@@ -440,7 +442,7 @@
 	// Output:
 	// one: GET /read?go ""
 	// read go: 200 "answer to go"
-	// discovery: /v1/endpoints?index=4&wait=20000
+	// discovery: /v1/endpoints?index=4&wait=3000
 	// read go: 503 "rolled back"
 	// pauses: true
 }
@@ -474,7 +476,7 @@
 	// Output:
 	// moved to: /v1/endpoints
 	// read go: 503 "rolled back"
-	// moved to: /v1/endpoints?index=3&wait=20000
+	// moved to: /v1/endpoints?index=3&wait=3000
 	// lost: 0
 }
 
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -50,13 +50,20 @@
 	})
 }
 
+// watchFor is how long a watch's call may wait. Until that is over one that has fallen silent looks like one with nothing to
+// tell, and hosts that drain or have come go unheard of.
+func watchFor(gateways int) time.Duration {
+	return min(max(watchWait, time.Duration(gateways)*watchEach), watchMost)
+}
+
 // watch calls for the list until a call is lost. The next call comes at once, so that the watch goes on.
 func (d *Desk) watch(line *transport.Line) {
 	for {
 		d.mu.Lock()
 		target, wait, current := protocol.ListTarget, time.Duration(0), d.list.line == line
 		if d.list.has {
-			target, wait = protocol.WatchTarget(d.list.rev, watchWait), watchWait
+			wait = watchFor(d.opened.Gateways)
+			target = protocol.WatchTarget(d.list.rev, wait)
 		}
 		d.mu.Unlock()
 		if !current {
