A breaker opens by a share of errors well over the usual one, not by chance

The probe of how hops end shows 3% of answers spoilt, at any host alike. To blame: breaker.note in logic/logic.go opens at a smoothed share of 0.25 over the usual one; at a usual 3% two errors within some hops reach that by chance, at 300 hops a second several times a second.

Now the share must be 0.25 and four times the usual one; that part is 0.13 at most, so that three errors close together always do.

Test: Example_errorsByChance; in the test of one profile's breaker it opens one error later, as half of that scene's hops err.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,7 +19,9 @@
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
-	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
+	shareToOpen = 0.25                   // share of errors that opens a breaker: two or three close together
+	usualTimes  = 4.0                    // of the share at all hosts that it must be over that: chance brings it
+	usualMost   = 0.13                   // bound on that: three close together always open it
 	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
 	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
 	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
@@ -233,7 +235,7 @@
 	default:
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
-		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+usual) {
+		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+min(usualTimes*usual, usualMost)) {
 			k.open, k.trying = true, false
 			k.cool = min(max(2*k.cool, coolFirst), coolMost)
 			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -177,8 +177,8 @@
 	// orders: map[2:10]
 	// 1060 tx 201 abandoned
 	// 1180 tx 205 abandoned
-	// 1300 log: host 1, order: breaker open true
 	// 1300 tx 209 abandoned
+	// 1420 log: host 1, order: breaker open true
 	// 1420 tx 213 abandoned
 	// 5140 log: host 1, order: breaker open false
 }
@@ -199,6 +199,28 @@
 	// map[1:187 2:13]
 }
 
+// Where some hops in a hundred err at all hosts alike, as when answers come spoilt, three errors within eight hops are chance
+// and open no breaker; three in a row do.
+func Example_errorsByChance() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.quiet = true
+	for id := range 400 {
+		s.take(id, 0, -1)
+		s.end(id, 0, map[bool]logic.End{true: logic.Error}[id%66 == 58 || id%66 >= 64], 60*ms)
+	}
+	s.print()
+	fmt.Println("six times three within eight; now three in a row")
+	for id := 400; id < 403; id++ {
+		s.take(id, 0, -1)
+		s.end(id, 0, logic.Error, 60*ms)
+	}
+	s.print()
+	// Output:
+	// six times three within eight; now three in a row
+	// 1000 log: host 1, all profiles: breaker open true
+	// 1000 log: host 1, read: breaker open true
+}
+
 // A host that hangs is passed over before its hops time out.
 func Example_hang() {
 	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
