Answers over 64 KiB pass whole; one lost answer no longer makes a host look ten times as slow

To blame: ReadAnswer in internal/protocol/transaction.go, which bounded them so. To blame: learn in logic/logic.go; a time-out of 95 to 195 ms counts as 10 to 20 times the work, so that one lost answer trebles a host's pace, and settlePaces turns that into the time of all. Excluded: hops never ended (the module's counts of hops out are as on the sockets), want of CPU (0.23 s in the busiest second), of memory, late turns (0.4 ms at the 99th percentile).

Now bodies of up to 1 MiB are held whole within a quarter of the memory limit and written by a goroutine of their own, until the client's time is up; a time-out counts as twice a host's pace at the most. With it goes what was read over on the way: an id that is open is not taken again (409), nor what could mean two things to two readers (a field given twice, a path of another profile, a body under GET); interim answers are bounded.

Tests: Example_large, Example_lostAnswer, Example_wrong, ExampleReadAnswer.

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	if err := desk.Listen(t.Listen, t.Limits.Sockets); err != nil {
+	if err := desk.Listen(t.Listen, t.Limits.Sockets, t.Limits.MemoryMB<<20); err != nil {
 		return err
 	}
 	if t.PeerListen != "" {
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -27,9 +27,14 @@
 	if h.length > most {
 		return nil, errBodyLong
 	}
-	body := make([]byte, h.length)
-	_, err := io.ReadFull(r, body)
-	return body, torn(err)
+	if h.length <= BodyMost {
+		body := make([]byte, h.length)
+		_, err := io.ReadFull(r, body)
+		return body, torn(err)
+	}
+	var body bytes.Buffer // grows as it comes: its length is only claimed
+	_, err := io.CopyN(&body, r, int64(h.length))
+	return body.Bytes(), torn(err)
 }
 
 func torn(err error) error {
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	BodyMost      = 64 << 10  // bytes of a body that either side may send, by the protocol
+	BodyMost      = 64 << 10  // bytes of a body that a client may send, by the protocol
+	answerMost    = 1 << 20   // bytes of one that a host may send: more than the protocol says are seen, if asked for room
 	listMost      = 4 << 20   // bytes of a list: some ten thousand hosts
+	interimMost   = 16        // heads of an answer, the last one included: hosts that work long send one now and then
 	longestBudget = 3_600_000 // milliseconds: a client that says more has its units wrong
 )
 
@@ -33,6 +35,7 @@
 	errField    = &Wrong{400, "malformed field"}
 	errLength   = &Wrong{400, "wrong length"}
 	errCoding   = &Wrong{400, "unknown transfer coding"}
+	errInterim  = &Wrong{502, "too many interim answers"}
 	errChunk    = &Wrong{400, "malformed chunk"}
 )
 
@@ -69,6 +72,22 @@
 	return nil, false
 }
 
+// twice tells whether one of these fields comes more than once.
+func (h *Head) twice(names ...string) bool {
+	for _, name := range names {
+		n := 0
+		for _, f := range h.Fields {
+			if equalFold(f.Name, name) {
+				n++
+			}
+		}
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 func equalFold(a []byte, b string) bool {
 	if len(a) != len(b) {
 		return false
@@ -103,9 +122,9 @@
 	return h.frame(version, byLength)
 }
 
-// ReadAnswer reads the head of an answer; interim ones are passed over.
+// ReadAnswer reads the head of an answer; interim ones are passed over, but not without end.
 func (h *Head) ReadAnswer(r *bufio.Reader) error {
-	for {
+	for range interimMost {
 		line, err := h.read(r)
 		if err != nil {
 			return err
@@ -126,6 +145,7 @@
 		}
 		h.Skip(r)
 	}
+	return errInterim
 }
 
 // read finds the head's end, splits its fields and gives its first line.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -118,9 +118,13 @@
 		"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 500 no\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\nEndpoint-Load-Metrics: TEXT inflight=many\r\n\r\n",
 		"HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le", "",
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 404 no\r\nContent-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\nhi", "HTTP/1.1 200 OK\r\nContent-Length: 299999\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhi",
 	} {
 		var h Head
-		a, keep, err := ReadAnswer(bufio.NewReader(strings.NewReader(text)), &h)
+		a, keep, err := ReadAnswer(bufio.NewReader(strings.NewReader(text)), &h, func(bytes int) bool { return bytes < 300_000 })
 		if err != nil {
 			fmt.Println("wrong:", err)
 			continue
@@ -138,6 +142,11 @@
 	// wrong: malformed first line
 	// wrong: ends within the message
 	// wrong: ends within the message
+	// wrong: too many interim answers
+	// 404 false {-1 -1 -1} <nil> true HTTP/1.1 404 Not Found|Content-Length: 2||hi
+	// wrong: body too long
+	// wrong: ends within the message
+	// wrong: wrong length
 }
 
 // A list with an entry that makes no sense is lost as a whole.
--- a/internal/protocol/transaction.go
+++ b/internal/protocol/transaction.go
@@ -58,8 +58,9 @@
 		t.Own = string(path)
 		return nil
 	}
+	first, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
 	if !named {
-		profile, _, _ = bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
+		profile = first
 	}
 	within, _ := h.Get(timeField)
 	ms, err := strconv.ParseUint(string(within), 10, 32)
@@ -67,10 +68,16 @@
 	switch {
 	case len(trace) == 0:
 		return &Wrong{400, "no " + traceField}
+	case h.twice(traceField, qosField, timeField, keyField): // a host might go by the other one
+		return &Wrong{400, "a field given twice"}
+	case !bytes.Equal(profile, first): // ditto
+		return &Wrong{400, "path not of this profile"}
 	case err != nil || ms == 0 || ms > longestBudget:
 		return &Wrong{400, "missing or silly " + timeField}
 	case marked && len(mark) == 0:
 		return &Wrong{400, "empty " + keyField}
+	case string(h.Method) == "GET" && (h.framing == chunked || h.length > 0): // a host might take it for a further message
+		return &Wrong{400, "body where there is none"}
 	case string(h.Method) == "GET" || string(h.Method) == "HEAD":
 		t.Effect = logic.Idempotent
 	case marked:
@@ -101,11 +108,13 @@
 	Load     logic.Load
 	LoadErr  error // what is wrong with a report that came
 	Body     []byte
+	Large    int // bytes for which room was asked, 0 for a body of the usual size
 	head     []byte
 }
 
-// ReadAnswer reads one; keep tells whether the connection can carry more.
-func ReadAnswer(r *bufio.Reader, h *Head) (a *Answer, keep bool, err error) {
+// ReadAnswer reads one; keep tells whether the connection can carry more. A body over the usual size is read where room
+// says that there is room for so many bytes.
+func ReadAnswer(r *bufio.Reader, h *Head, room func(bytes int) bool) (a *Answer, keep bool, err error) {
 	if err := h.ReadAnswer(r); err != nil {
 		if err == io.EOF {
 			err = errTorn
@@ -125,7 +134,10 @@
 		a.head = h.appendFields(appendStatus(make([]byte, 0, h.size+40), a.Status))
 	}
 	h.Skip(r)
-	a.Body, err = h.ReadBody(r, BodyMost)
+	if h.framing == byLength && h.length > BodyMost && h.length <= answerMost && room(h.length) {
+		a.Large = h.length
+	}
+	a.Body, err = h.ReadBody(r, max(BodyMost, a.Large))
 	return a, !h.Close, err
 }
 
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -30,8 +30,11 @@
 		t.client.End(protocol.Plain(400, wrong+"\n", 0, true))
 		return false
 	}
-	d.Book.Taken.Add(1)
-	d.take(t, d.arrival(t.said, profile, max(t.said.Budget-timeAside, time.Millisecond)))
+	if !d.take(t, d.arrival(t.said, profile, max(t.said.Budget-timeAside, time.Millisecond))) {
+		d.Book.wrong("id of a transaction that is open", slog.String("trace", t.said.Trace))
+		t.client.End(protocol.Plain(409, "its id is that of another\n", 0, true))
+		return false
+	}
 	return true
 }
 
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -15,6 +15,8 @@
 	listLate     = 1500 * time.Millisecond // after which a call counts as lost, over what it may wait: far over its way
 	hurry        = 100 * time.Millisecond  // before the next call where one brought nothing: within the 200 ms of a watch
 	usualSockets = 1024                    // what a process may have open where nothing is said of it
+	usualMemory  = 64 << 20                // bytes that a process may use, ditto
+	largePart    = 4                       // one byte in so many of that is for answers over the usual size
 	usualIdle    = 4 * time.Second         // for which hosts keep a connection, ditto: a short one among servers
 	usualConnect = time.Second             // for a connection to come up, ditto: one lost packet's time
 	usualLongest = 3 * time.Second         // a hard limit, ditto: the longest of the protocol
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -42,14 +42,21 @@
 			d.Book.wrong(h.answer.LoadErr.Error())
 		}
 	}
+	large := 0
+	if h.answer != nil {
+		large = h.answer.Large
+	}
 	d.decide(func(now time.Duration) {
 		t := h.t
 		t.out--
 		d.Book.Ends[end].Add(1)
-		if end == logic.Committed && !t.answered {
-			d.answer(t, &d.Book.Committed, h.answer.ForClient)
-		} else if end == logic.Moot && !t.answered {
-			d.answer(t, &d.Book.Declined, h.answer.ForClient)
+		switch {
+		case t.answered || end != logic.Committed && end != logic.Moot:
+			d.large.Add(int64(large))
+		case end == logic.Committed:
+			d.answer(t, &d.Book.Committed, large, h.answer.ForClient)
+		default:
+			d.answer(t, &d.Book.Declined, large, h.answer.ForClient)
 			d.then(func() {
 				d.Book.wrong("declined by its host", slog.Int("status", h.answer.Status), slog.String("trace", t.said.Trace))
 			})
@@ -60,29 +67,29 @@
 }
 
 func (d *Desk) RollBack(id logic.TxID, after time.Duration) {
-	d.answer(d.txs[id], &d.Book.RolledBack, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.RolledBack, 0, func(closing bool) net.Buffers {
 		return protocol.Plain(503, "rolled back\n", after, closing)
 	})
 }
 
 func (d *Desk) Abandon(id logic.TxID) {
-	d.answer(d.txs[id], &d.Book.Abandoned, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.Abandoned, 0, func(closing bool) net.Buffers {
 		return protocol.Plain(504, "abandoned\n", 0, closing)
 	})
 }
 
-// answer is a transaction's one final answer. It is written outside the lock, by whoever has it.
-func (d *Desk) answer(t *tx, count *count, form func(closing bool) net.Buffers) {
+// answer is a transaction's one final answer. It is written outside the lock, by whoever has it; a large one, by a goroutine of
+// its own: its client may read slowly, and the host's connection is in use again by then.
+func (d *Desk) answer(t *tx, count *count, large int, form func(closing bool) net.Buffers) {
 	must.Hold(t != nil && !t.answered, "one final answer")
 	if t == nil || t.answered {
 		return
 	}
-	t.answered = true
+	d.settled(t)
 	count.Add(1)
-	d.forget(t)
-	d.then(func() {
+	write := func() {
 		closing := t.said.Close || d.closing.Load()
-		if err := t.client.Write(form(closing)); err != nil {
+		if err := t.client.WriteBy(form(closing), t.taken.Add(t.said.Budget)); err != nil {
 			d.Book.Unwritten.Add(1)
 			closing = true
 		}
@@ -91,5 +98,13 @@
 		if closing {
 			t.client.Close()
 		}
+		d.large.Add(int64(large))
+	}
+	d.then(func() {
+		if large > 0 {
+			go write()
+		} else {
+			write()
+		}
 	})
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -23,6 +23,7 @@
 	opened  *given.Opened
 	list    listing
 	tells   tells
+	large   atomic.Int64 // bytes left for answers over the usual size
 	closing atomic.Bool
 	ready   atomic.Bool
 
@@ -30,6 +31,7 @@
 	began  time.Time
 	last   logic.TxID
 	txs    map[logic.TxID]*tx
+	open   map[string]bool // ids, as clients give them, of those that wait for their answer
 	timer  *time.Timer
 	after  []func() // what is to be done outside the lock
 	within bool     // the module is at work
@@ -51,7 +53,7 @@
 // Open makes a gateway's desk; settings are the module's.
 func Open(settings []byte) (*Desk, error) {
 	opened, err := given.Read(settings, askWithin)
-	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, list: newListing()}
+	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing()}
 	d.timer = time.AfterFunc(time.Hour, func() { d.decide(func(now time.Duration) { d.opened.Timer(now) }) })
 	d.timer.Stop()
 	return d, err
@@ -82,24 +84,36 @@
 	return max(0, origin+time.UnixMilli(bootMS).Sub(d.began.Round(0)))
 }
 
-// take hands a transaction to the module.
-func (d *Desk) take(t *tx, a logic.Arrival) {
+// take hands a transaction to the module, unless its id is that of one that is still open: its effect would happen twice.
+func (d *Desk) take(t *tx, a logic.Arrival) (taken bool) {
 	d.decide(func(now time.Duration) {
+		if taken = !d.open[t.said.Trace]; !taken {
+			return
+		}
+		d.open[t.said.Trace] = true
+		d.Book.Taken.Add(1)
 		d.last++
 		t.id = d.last
 		d.txs[t.id] = t
 		d.opened.Take(now, t.id, a)
 	})
+	return taken
+}
+
+// settled notes that a transaction has its final answer, or that nobody waits for one.
+func (d *Desk) settled(t *tx) {
+	t.answered = true
+	delete(d.open, t.said.Trace)
+	d.forget(t)
 }
 
 // left tells the module that a client has closed, if it still waits.
 func (d *Desk) left(t *tx) {
 	d.decide(func(now time.Duration) {
 		if !t.answered {
-			t.answered = true
+			d.settled(t)
 			d.Book.Left.Add(1)
 			d.opened.Left(now, t.id)
-			d.forget(t)
 		}
 	})
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -43,7 +43,7 @@
 	desk, err := Open([]byte(settings))
 	if err == nil {
 		s.Desk = desk
-		err = desk.Listen("127.0.0.1:0", 400)
+		err = desk.Listen("127.0.0.1:0", 400, 2<<20)
 	}
 	if err == nil {
 		err = desk.Join("127.0.0.1:0", []string{"127.0.0.1:9", "127.0.0.1:8"}, "")
@@ -97,6 +97,9 @@
 		w.WriteHeader(503)
 	case "decline":
 		http.Error(w, "no such thing", 400)
+	case "large":
+		w.Header().Set("Content-Length", "300000")
+		io.WriteString(w, strings.Repeat("large ", 50_000))
 	case "cut":
 		cut()
 	case "half":
@@ -158,7 +161,7 @@
 	if method == "POST" {
 		more += "Content-Length: 2\r\n"
 	}
-	return method + " /" + profile + "?" + do + " HTTP/1.1\r\nHost: svc\r\nX-Trace-Id: 9b\r\nX-Qos: " + profile +
+	return method + " /" + profile + "?" + do + " HTTP/1.1\r\nHost: svc\r\nX-Trace-Id: 9b-" + do + "\r\nX-Qos: " + profile +
 		"\r\nX-Expires-In-Ms: 1000\r\n" + more + "\r\n" + map[string]string{"POST": "hi"}[method]
 }
 
@@ -275,6 +278,30 @@
 	// hops: 10 declined: 10 errors: 0
 }
 
+// An answer over the usual size passes whole where there is room to hold it, also to a client that reads late; where there is
+// none its hop may have run.
+func Example_large() {
+	s := play("one")
+	c := s.dial()
+	room := s.large.Load()
+	io.WriteString(c, text("read", "large", ""))
+	time.Sleep(20 * time.Millisecond)
+	r, _ := http.ReadResponse(c.r, nil)
+	body, err := io.ReadAll(r.Body)
+	s.say("%d, %d bytes, %v", r.StatusCode, len(body), err)
+	s.until("room again", func() bool { return s.large.Load() == room })
+	s.large.Store(100_000)
+	s.ask("pay", "large")
+	s.print()
+	fmt.Println("room:", s.large.Load())
+	// Output:
+	// one: GET /read?large ""
+	// 200, 300000 bytes, <nil>
+	// one: POST /pay?large "hi"
+	// pay large: 504 "abandoned"
+	// room: 100000
+}
+
 // A connection that never comes up proves that nothing ran: even a payment goes on, here to the other host.
 func Example_neverUp() {
 	s := play("down", "one")
@@ -330,6 +357,8 @@
 		text("nothing", "go", ""), text("read", "go", "Content-Length: -1\r\n"),
 		strings.Replace(text("pay", "go", ""), "Content-Length: 2", "Idempotency-Key: k\r\nContent-Length: 2", 1),
 		strings.Replace(text("pay", "go", ""), "1000", "soon", 1), "GET /nowhere HTTP/1.1\r\n\r\n", "\x16\x03\x01 \r\n\r\n",
+		strings.Replace(text("read", "path", ""), "/read", "/pay", 1), text("read", "go", "X-Qos: pay\r\n"),
+		text("read", "go", "Content-Length: 5\r\n") + "GET /",
 	} {
 		c := s.dial()
 		io.WriteString(c, text)
@@ -346,6 +375,14 @@
 	}
 	_, err := io.WriteString(c, "a")
 	s.say("reads on: %t", err == nil)
+	open, same := s.dial(), s.dial()
+	io.WriteString(open, text("pay", "wait", ""))
+	s.untilLine("one: POST")
+	io.WriteString(same, text("pay", "wait", ""))
+	s.get(same, "the same id")
+	open.Close()
+	s.untilLine("one: given up")
+	s.ask("pay", "go")
 	s.told(netip.MustParseAddrPort("127.0.0.1:7"), make([]byte, 9)) // of no gateway
 	s.told(netip.MustParseAddrPort("127.0.0.1:8"), make([]byte, 8)) // no whole number of hosts
 	s.told(netip.MustParseAddrPort("127.0.0.1:8"), make([]byte, 9))
@@ -359,9 +396,17 @@
 	// "POST /pay?go": 400 "missing or silly X-Expires-In-Ms", the last
 	// "GET /nowhere": 404 "not here"
 	// "\x16\x03\x01 \r\n\r\n": 400 "malformed first line", the last
+	// "GET /pay?path": 400 "path not of this profile", the last
+	// "GET /read?go": 400 "a field given twice", the last
+	// "GET /read?go": 400 "body where there is none", the last
 	// too long: 413 "body too long", the last
 	// reads on: true
-	// wrong: 6 taken: 0 told: 1 dropped: 2
+	// one: POST /pay?wait "hi"
+	// the same id: 409 "its id is that of another", the last
+	// one: given up
+	// one: POST /pay?go "hi"
+	// pay go: 200 "answer to go"
+	// wrong: 10 taken: 2 told: 1 dropped: 2
 }
 
 // A client that says nothing, or never all, is told so or closed within 3 seconds; one that may come again is kept for longer.
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -13,8 +13,9 @@
 	"spanmux/logic"
 )
 
-// Listen opens the gateway to clients, with room for so many sockets.
-func (d *Desk) Listen(addr string, sockets int) (err error) {
+// Listen opens the gateway to clients, with room for so many sockets and within so many bytes of memory.
+func (d *Desk) Listen(addr string, sockets int, memory int64) (err error) {
+	d.large.Store(cmp.Or(memory, usualMemory) / largePart)
 	sockets = cmp.Or(sockets, usualSockets)
 	crowd := max(1, sockets/crowdPart)
 	most := sockets - crowd - spareSockets
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -31,7 +31,7 @@
 		Until:   until,
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
-			h.answer, keep, err = protocol.ReadAnswer(r, &head)
+			h.answer, keep, err = protocol.ReadAnswer(r, &head, d.roomFor)
 			return keep, err
 		},
 		Done: func(how transport.How) { d.ended(h, how) },
@@ -52,6 +52,16 @@
 	})
 }
 
+// roomFor takes room for an answer over the usual size, which is held whole like others: many at once, read slowly by their
+// clients, would take all memory.
+func (d *Desk) roomFor(bytes int) bool {
+	if d.large.Add(-int64(bytes)) >= 0 {
+		return true
+	}
+	d.large.Add(int64(bytes))
+	return false
+}
+
 func (d *Desk) CallOff(id logic.TxID, number int) {
 	h := d.txs[id].hops[number]
 	d.then(h.exchange.GiveUp)
@@ -66,7 +76,7 @@
 		Until:   time.Now().Add(probeWithin),
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
-			answer, keep, err := protocol.ReadAnswer(r, &head)
+			answer, keep, err := protocol.ReadAnswer(r, &head, func(int) bool { return false })
 			if err == nil && answer.Status == 200 {
 				var wrong error
 				if load, wrong = protocol.Load(answer.Body); wrong != nil {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -234,8 +234,14 @@
 }
 
 // Write answers the client.
-func (c *Client) Write(b net.Buffers) error {
-	c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
+func (c *Client) Write(b net.Buffers) error { return c.WriteBy(b, time.Now()) }
+
+// WriteBy answers a client that waits until then, and may read slowly.
+func (c *Client) WriteBy(b net.Buffers, until time.Time) error {
+	if least := time.Now().Add(writeWithin); until.Before(least) {
+		until = least
+	}
+	c.nc.SetWriteDeadline(until)
 	_, err := b.WriteTo(c.nc)
 	return err
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -273,7 +273,8 @@
 		bad = took > overdue*work.value*crowd
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
-		h.learnPace(max(took/crowd/work.value, h.pace.value))
+		// One answer lost, where that is far over the work, must not make its host look ten times as slow.
+		h.learnPace(min(max(took/crowd/work.value, h.pace.value), overdue*h.pace.value))
 	case Error, Broken, NoConnection, Full:
 		h.waiting, h.bad, bad, errs = b.now, true, true, 1
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -73,6 +73,21 @@
 	// hops: map[1:12]
 }
 
+// One answer lost says little of a host's pace: where a time-out is far longer than the work, that host, and with it all,
+// would look too slow for anything.
+func Example_lostAnswer() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.answered(1, 30, 0)
+	s.take(31, 0, -1)
+	s.end(31, 0, logic.TimedOut, 4*time.Second)
+	s.take(32, 0, -1)
+	s.print()
+	// Output:
+	// 2800 tx 31 hop to 1 for 1000
+	// 2800 tx 31 rolled back, come back after 60
+	// 2800 tx 32 hop to 1 for 1000
+}
+
 // Rule 3: from the moment it is told a gateway sends nothing to a host that drains or is gone.
 func Example_drain() {
 	s := start([]logic.Profile{read}, nil, host(1, "a", 1), host(2, "a", 1))
