--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,7 +235,7 @@
 	default:
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
-		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+min(usualTimes*usual, usualMost)) {
+		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+usual) {
 			k.open, k.trying = true, false
 			k.cool = min(max(2*k.cool, coolFirst), coolMost)
 			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
@@ -287,7 +287,7 @@
 	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, b.errs.value, b.now, b.chance.draw()) {
+		} else if c.note(bad, errs, min(usualTimes*b.errs.value, usualMost), b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -352,8 +352,8 @@
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
 
-// guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be far
-// less than it is by it, and a full second's transactions were turned away.
+// guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be
+// far less than it is by it, and a full second's transactions were turned away.
 func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
 
 func (b *Balancer) expect(h *host, profile int) float64 {
@@ -499,8 +499,8 @@
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
-// admitted is the host for a new transaction, nil where it is rolled back: not on a guess. One long unheard of
-// is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
+// admitted is the host for a new transaction, nil where it is rolled back: not on a guess. One long unheard
+// of is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
 func (b *Balancer) admitted(t *tx) *host {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
