What is usual for a breaker is the errors at the other hosts, four times over

Checked: ends by host are even; load is carried once the breakers are left closed. Excluded: a host losing more than others; stale connections as such: those reset at the next message are of any age, from 0.3 to 460 ms.

Now the usual part is the share at all hosts, as before, and four times the mean share at the other hosts that are not barred, 0.4 at the most.

Tests: Example_errorsByChance fails without it; Example_errorsEverywhere no longer bars one of two hosts that err alike.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,9 +19,9 @@
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
-	shareToOpen = 0.25                   // share of errors that opens a breaker: two or three close together
-	usualTimes  = 4.0                    // of the share at all hosts that it must be over that: chance brings it
-	usualMost   = 0.13                   // bound on that: three close together always open it
+	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
+	usualTimes  = 4.0                    // of the share at other hosts, over both: chance brings as much to any
+	usualMost   = 0.4                    // bound on that: a host that all but fails opens it whatever others do
 	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
 	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
 	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
@@ -283,11 +283,12 @@
 		return
 	}
 	b.errs.add(errs, workStep)
+	usual := b.errs.value + min(usualTimes*b.table.errsElsewhere(h), usualMost)
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, min(usualTimes*b.errs.value, usualMost), b.now, b.chance.draw()) {
+		} else if c.note(bad, errs, usual, b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -235,6 +235,18 @@
 
 func (t *table) own() *group { return t.groups[0] }
 
+// errsElsewhere is the mean share of errors at the hosts that are not barred, but for one: that one's own say nothing of what
+// is usual.
+func (t *table) errsElsewhere(than *host) float64 {
+	var mean average
+	for _, h := range t.ready {
+		if h != than && !h.whole.open {
+			mean.add(h.whole.share, 0)
+		}
+	}
+	return mean.value
+}
+
 // group is the one of that index among the zones, the own one where there is none.
 func (t *table) group(index int) *group {
 	for _, g := range t.groups {
