A client's connection is idle once it has its answer, not only when its next message comes

Observed: the counters show half of the transactions, 17 rolled back, no breaker open, a tenth of a core in use, 344 of 384 sockets. Checked: which connections give way (1549 idle ones, 508 new ones in 20 s); then what all are at, printed each second: 128 owe an answer, for up to 3 s, where answers take 0.3 s. To blame: Client.Watch in internal/transport/front.go and client in internal/routing/takein.go: a connection counted as busy from its message until the next one, so what clients keep after their one answer never became idle, was never closed, and took up the third of the sockets that clients may hold. Excluded: the module (above), slow accepting (no connection over the room), the restart (the first 6 s are no better).

Now the answer makes it idle: 4 s at the most, and no more than a fifth of the clients there may be, the longest idle closed first.

Test: Example_silent.

--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -94,10 +94,12 @@
 			closing = true
 		}
 		d.Book.Microseconds.Add(time.Since(t.taken).Microseconds())
-		close(t.settled)
 		if closing {
 			t.client.Close()
+		} else {
+			t.client.Settled()
 		}
+		close(t.settled)
 		d.large.Add(int64(large))
 	}
 	d.then(func() {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -413,7 +413,9 @@
 func Example_silent() {
 	s := play("one")
 	began := time.Now()
-	silent, half, idle := s.dial(), s.dial(), s.dial()
+	silent, half, idle, once := s.dial(), s.dial(), s.dial(), s.dial()
+	io.WriteString(once, text("read", "once", ""))
+	s.get(once, "once")
 	io.WriteString(half, "GET /read?go HTT")
 	io.WriteString(idle, "GET /ready HTTP/1.1\r\n\r\n")
 	s.get(idle, "idle")
@@ -422,14 +424,20 @@
 	s.say("in time: %t", time.Since(began) < 3*time.Second)
 	io.WriteString(idle, text("read", "again", ""))
 	s.get(idle, "idle")
+	s.get(once, "once, idle since")
+	s.say("in time: %t", time.Since(began) < 5*time.Second)
 	s.print()
 	// Output:
+	// one: GET /read?once ""
+	// once: 200 "answer to once"
 	// idle: 200 "ready"
 	// silent: closed
 	// half: 408 "message not whole in time", the last
 	// in time: true
 	// one: GET /read?again ""
 	// idle: 200 "answer to again"
+	// once, idle since: closed
+	// in time: true
 }
 
 // A watch goes on from the version in hand; a list that is lost or makes no sense leaves the old one standing, and it is
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	mu       sync.Mutex
 	open     map[*Client]struct{}
 	in       int // of these, those not over the room
+	idle     int // of these, those between messages
 	over     chan struct{}
 	closing  bool
 	Accepted atomic.Int64
@@ -128,6 +130,9 @@
 func (c *Client) leave() {
 	c.front.mu.Lock()
 	delete(c.front.open, c)
+	if c.doing == idle {
+		c.front.idle--
+	}
 	if !c.Over {
 		c.front.in--
 	}
@@ -156,8 +161,14 @@
 func (c *Client) becomes(doing doing) bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
+	if c.doing == idle {
+		c.front.idle--
+	}
 	c.doing, c.since = doing, time.Now()
 	c.spoke = c.spoke || doing == owed
+	if doing == idle {
+		c.front.idle++
+	}
 	return !c.shut
 }
 
@@ -188,8 +199,7 @@
 func (c *Client) quiet() error {
 	until := c.came.Add(silentMost)
 	if c.spoke {
-		until = time.Now().Add(idleMost)
-		c.becomes(idle)
+		until = c.rest()
 	}
 	c.front.mu.Lock()
 	closing := c.front.closing
@@ -211,6 +221,7 @@
 // Whole says that a message has come whole and is owed an answer. One over the room takes a place now if others only sit on
 // theirs. It is false where the connection has been closed.
 func (c *Client) Whole() bool {
+	c.nc.SetReadDeadline(time.Time{})
 	open := c.becomes(owed)
 	if c.Over && c.front.enter() {
 		c.Over = false
@@ -223,14 +234,29 @@
 	return open
 }
 
-// Watch waits until the client closes, or sends more than it should; a message is whole now.
+// Watch waits until the client closes, or sends what comes next; a message is whole now. Once that is answered, be it that
+// the client says nothing, the connection is idle, and closed as such: counted as busy until the next message, those of
+// clients that ask once would take all room for good.
 func (c *Client) Watch() error {
 	if c.R.Buffered() > 0 {
 		return nil
 	}
 	c.release()
-	c.nc.SetReadDeadline(time.Time{})
-	return c.see.wait()
+	err := c.see.wait()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.see.any() { // as its time was up
+		err = nil
+	}
+	return err
+}
+
+// Settled says that the message has its answer; nothing is owed any more.
+func (c *Client) Settled() { c.nc.SetReadDeadline(c.rest()) }
+
+// rest makes the connection idle, and tells until when it may be.
+func (c *Client) rest() time.Time {
+	c.becomes(idle)
+	c.front.thin()
+	return time.Now().Add(idleMost)
 }
 
 // Write answers the client.
@@ -295,6 +321,25 @@
 	return true
 }
 
+// thin closes the connection that has been idle longest where too many are. Clients that ask once and keep their connection
+// may have no more than so many themselves: kept for them, these would keep out the next.
+func (f *Front) thin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle <= max(2, f.most/idleShare) {
+		return
+	}
+	var oldest *Client
+	for c := range f.open { // in any order: the oldest is the same
+		if c.doing == idle && !c.shut && (oldest == nil || c.since.Before(oldest.since)) && c.gives(time.Now()) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.shutNow()
+	}
+}
+
 // shutNow closes a connection on which nothing is owed.
 func (c *Client) shutNow() {
 	c.shut = true
