A client that leaves as it is answered is not counted as idle for good

Besides, one that becomes idle just as the front closes would have been waited for. Both are looked at under the front's lock now.

Test: ExampleClient_Whole.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -161,6 +161,9 @@
 func (c *Client) becomes(doing doing) bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
+	if _, open := c.front.open[c]; !open { // its client has left while it was answered: it is counted no more
+		return false
+	}
 	if c.doing == idle {
 		c.front.idle--
 	}
@@ -198,19 +201,13 @@
 // quiet waits while nothing is owed.
 func (c *Client) quiet() error {
 	until := c.came.Add(silentMost)
-	if c.spoke {
-		until = c.rest()
-	}
-	c.front.mu.Lock()
-	closing := c.front.closing
-	c.front.mu.Unlock()
 	switch {
-	case closing:
-		until = time.Now().Add(lastLook)
 	case c.Over:
 		until = time.Now().Add(crowdWithin)
+	case c.spoke:
+		until = c.rest()
 	}
-	c.nc.SetReadDeadline(until)
+	c.nc.SetReadDeadline(c.front.atMost(until))
 	err := c.see.wait()
 	if err != nil && c.see.any() { // as its time was up
 		err = nil
@@ -256,7 +253,17 @@
 func (c *Client) rest() time.Time {
 	c.becomes(idle)
 	c.front.thin()
-	return time.Now().Add(idleMost)
+	return c.front.atMost(time.Now().Add(idleMost))
+}
+
+// atMost is a time until which a connection may stay open, unless the front closes.
+func (f *Front) atMost(until time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closing {
+		return time.Now().Add(lastLook)
+	}
+	return until
 }
 
 // Write answers the client.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -228,6 +228,11 @@
 	say(third, "answered, and soon idle")
 	say(over, "over the room until it spoke")
 	f.Shut()
+	known.Close()
+	third.Close()
+	until(func() bool { return f.Open() == 0 })
+	(&Client{front: f, nc: over}).Settled() // as of one whose client has left just before
+	fmt.Println("counted as idle when all have left:", f.idle)
 	// Output:
 	// go: "ok\n", known
 	// go: "ok\n", for one that said nothing
@@ -235,6 +240,7 @@
 	// go: "ok\n", still there
 	// go: "ok\n", answered, and soon idle
 	// go: "ok\n", over the room until it spoke
+	// counted as idle when all have left: 0
 }
 
 // Idle connections to hosts give way to clients, and idle clients to new ones; part of the room is for hosts. A client
