--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,6 +48,9 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdTold   = 1.8                    // the same where hosts tell what they hold
+	restStep    = 0.5                    // smoothing of what a host reports of others' hops: reports are noisy
+	kneeBusy    = 0.7                    // reported utilisation up to which hops over it show the knee
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
@@ -70,6 +73,9 @@
 			b.unsaid(h)
 		}
 		h.again = false
+		if b.now-h.restAt > staleAge {
+			h.rest += restStep * (h.group.rest.value - h.rest)
+		}
 		if b.from.Probes && !b.isCold(h) && b.draws(h.group) && (b.relaying || b.rare()) {
 			b.out.Probe(h.ID)
 		}
@@ -107,6 +113,9 @@
 	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
 }
 
+// alone tells whether this is one of many gateways that learn of each other only by what hosts report.
+func (b *Balancer) alone() bool { return !b.from.Tells && b.place.Gateways > fewGateways }
+
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
 
@@ -281,7 +290,9 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	h.report(r.Load, b.now)
-	if r.Load.Waiting >= 0 && !b.from.Tells && b.place.Gateways > fewGateways { // one answer speaks for the zone
+	if b.alone() && r.Load.Held >= 0 {
+		h.group.rest.add(h.rest, paceStep)
+	} else if b.alone() && r.Load.Waiting >= 0 { // one answer speaks for the zone
 		h.group.queue.add(r.Load.Waiting, paceStep)
 	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
@@ -290,7 +301,7 @@
 	case Committed:
 		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
-		if crowd == 1 || !b.guesses(h) {
+		if crowd == 1 || h.model.knee.n > 0 || !b.guesses(h) {
 			work.add(took/crowd/h.pace.value, workStep)
 			h.learnPace(took / crowd / work.value)
 		}
@@ -375,6 +386,9 @@
 // crowd is how much longer a hop takes among so many on the slots that reports of its kind show; without
 // reports, hosts with one slot and with several are met halfway.
 func (h *host) crowd(hops float64) float64 {
+	if k := h.model.knee; k.n > 0 {
+		return math.Cbrt(1 + math.Pow(hops/k.value, 3)) // its cores are in use ever more evenly
+	}
 	slots := h.model.places.value
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
@@ -481,6 +495,9 @@
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
 	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.from.Tells, crowdMost, crowdUntold)
+	if b.table.own().rest.n > 0 {
+		crowd = crowdTold
+	}
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
--- a/logic/state.go
+++ b/logic/state.go
@@ -319,6 +319,7 @@
 // model is what like hosts show.
 type model struct {
 	places average // hops in work at a full host, where reports show it
+	knee   average // hops at which all its cores are in use, where hosts report both
 	pace   average // times the usual time of a profile
 }
 
@@ -329,6 +330,7 @@
 	hosts  []*host
 	order  []*group // this one and then the others
 	queue  average  // hops waiting at a host here, where answers report it to one of many
+	rest   average  // hops of other gateways at a host here, where answers report what is held to one of many
 	skip   int      // those that drew here and were given up as silent
 	misses int      // answers in a row that did not come
 }
@@ -370,6 +372,8 @@
 	lat     average       // time of an answer, waits included
 	busy    float64       // reported utilisation
 	busyAt  time.Duration // when that came, 0 for never
+	rest    float64       // hops of other gateways there, as it last reported
+	restAt  time.Duration // when that came
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, if any are
 	whole   breaker
@@ -383,6 +387,13 @@
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
+	if l.Held >= 0 {
+		h.restAt = now
+		h.rest += restStep * (max(0, l.Held-float64(h.own)) - h.rest)
+	}
+	if l.Busy > 0 && l.Busy < kneeBusy && l.Held >= 1 {
+		h.model.knee.add(l.Held/l.Busy, workStep)
+	}
 	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
 		p.add(max(1, l.Held-l.Waiting), paceStep)
 	} else if l.Waiting == 0 {
@@ -415,7 +426,9 @@
 }
 
 // out is all hops there, as far as known.
-func (h *host) out() float64 { return float64(h.own+h.others) + h.group.queue.value }
+func (h *host) out() float64 {
+	return float64(h.own+h.others) + either(h.group.rest.n > 0, h.rest, h.group.queue.value)
+}
 
 // hold counts what another gateway has out.
 func (h *host) hold(from, hops int, now time.Duration) {
