--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,7 +48,7 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	crowdTold   = 1.8                    // the same where hosts tell what they hold
+	crowdTold   = 1.5                    // the same where hosts tell what they hold
 	restStep    = 0.5                    // smoothing of what a host reports of others' hops: reports are noisy
 	kneeBusy    = 0.7                    // reported utilisation up to which hops over it show the knee
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
@@ -301,7 +301,7 @@
 	case Committed:
 		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
-		if crowd == 1 || h.model.knee.n > 0 || !b.guesses(h) {
+		if crowd == 1 || h.model.knee() > 0 || !b.guesses(h) {
 			work.add(took/crowd/h.pace.value, workStep)
 			h.learnPace(took / crowd / work.value)
 		}
@@ -386,8 +386,8 @@
 // crowd is how much longer a hop takes among so many on the slots that reports of its kind show; without
 // reports, hosts with one slot and with several are met halfway.
 func (h *host) crowd(hops float64) float64 {
-	if k := h.model.knee; k.n > 0 {
-		return math.Cbrt(1 + math.Pow(hops/k.value, 3)) // its cores are in use ever more evenly
+	if knee := h.model.knee(); knee > 0 {
+		return math.Cbrt(1 + math.Pow(hops/knee, 3)) // its cores are in use ever more evenly
 	}
 	slots := h.model.places.value
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
--- a/logic/state.go
+++ b/logic/state.go
@@ -319,7 +319,8 @@
 // model is what like hosts show.
 type model struct {
 	places average // hops in work at a full host, where reports show it
-	knee   average // hops at which all its cores are in use, where hosts report both
+	held   average // hops at one that has cores free, where hosts report both
+	busy   average // and its utilisation
 	pace   average // times the usual time of a profile
 }
 
@@ -392,7 +393,8 @@
 		h.rest += restStep * (max(0, l.Held-float64(h.own)) - h.rest)
 	}
 	if l.Busy > 0 && l.Busy < kneeBusy && l.Held >= 1 {
-		h.model.knee.add(l.Held/l.Busy, workStep)
+		h.model.held.add(l.Held, workStep)
+		h.model.busy.add(l.Busy, workStep)
 	}
 	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
 		p.add(max(1, l.Held-l.Waiting), paceStep)
@@ -401,6 +403,9 @@
 	}
 }
 
+// knee is the hops at which all cores of such a host are in use, 0 where that is not known.
+func (m *model) knee() float64 { return either(m.busy.n > 0, m.held.value/m.busy.value, 0) }
+
 func (h *host) learnPace(p float64) {
 	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
