--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,17 +48,19 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	crowdNear   = 1.3                    // the same where hosts tell what they hold: its cores are nearly all in use
-	crowdTold   = 1.5                    // the same where hosts tell what they hold
-	restStep    = 0.5                    // smoothing of what a host reports of others' hops: reports are noisy
+	nearFirst   = 0.5                    // of the knee, told in the mean: from there a group is near full now and then
+	nearLast    = 1.0                    // from there it always is
+	fullFirst   = 1.2                    // the same for a group that is full
+	fullLast    = 1.5                    // ditto
+	restStep    = 1.0                    // smoothing of what a host reports of others' hops: reports are noisy
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
-	reachLeast  = 2                      // hosts that a gateway keeps to, where connections cost: one may fail
-	useEach     = 4.0                    // transactions a second and host: enough to know it by, and keep it open
+	reachLeast  = 3                      // hosts that a gateway keeps to, where connections cost: one may fail
+	useEach     = 2.0                    // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
 	probeMost   = 4.0                    // at once: a host or two of each zone
@@ -295,7 +297,7 @@
 func (b *Balancer) heard(h *host, l Load) {
 	h.report(l, b.now)
 	if b.alone() && l.Held >= 0 {
-		h.group.rest.add(h.rest, paceStep)
+		h.group.rest.add(h.rest, restStep)
 	} else if b.alone() && l.Waiting >= 0 {
 		h.group.queue.add(l.Waiting, paceStep)
 	}
@@ -425,25 +427,51 @@
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
 }
 
+// load is what the hosts of a group hold, of that at which their cores are all in use, as far as told; -1 where it is not.
+func (b *Balancer) load(g *group) float64 {
+	if !b.alone() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
+		return -1
+	}
+	return (g.rest.value + 1) / g.hosts[0].model.knee()
+}
+
+// full tells by chance whether a load lies over one between first and last: what hosts told is some time old, and where
+// all gateways turned at one figure these would be empty and buried by turns.
+func (b *Balancer) full(load, first, last float64) bool {
+	return first+b.chance.draw()*(last-first) < load
+}
+
+// leaves tells whether a transaction goes on to another group from its own.
+func (b *Balancer) leaves(g *group) bool {
+	if l := b.load(g); l >= 0 {
+		return b.full(l, nearFirst, nearLast)
+	}
+	return b.alone() && b.price.Held && b.chance.draw() > b.table.evenPart(g)
+}
+
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
 // crossing is dear. If every breaker is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
 	near := min(fullFrom+2*dear, admitMost) * float64(t.prof.Goal)
 	for _, barred := range []bool{false, true} {
-		most := b.patience(t.profile)
-		away := b.alone() && b.price.Held && t.home.rest.n == 0 && b.chance.draw() > b.table.evenPart(t.home)
+		most, leaves := b.patience(t.profile), b.leaves(t.home)
 		for _, g := range t.home.order {
+			if g != t.home && leaves && b.load(g) > b.load(t.home) {
+				continue
+			}
 			h, e, busy := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
-			if h == nil || g != t.home && e > most || g == t.home && away && !barred {
+			if h == nil || g != t.home && e > most ||
+				b.load(g) >= 0 && b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) {
 				continue
 			}
 			pick, expected = h, e
 			if g != t.home {
 				most = e
+			} else if leaves {
+				most = math.Inf(1)
 			} else if !barred && !h.closed(t.profile) || // on trial
-				e <= most && (h.crowd(h.out()+1) <= either(h.model.knee() > 0, crowdNear, crowdFree) ||
-					h.model.knee() == 0 && e <= near && busy < busyFull) {
+				e <= most && (h.model.knee() > 0 || h.crowd(h.out()+1) <= crowdFree || e <= near && busy < busyFull) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
@@ -487,7 +515,7 @@
 		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.slowness() / h.weight})
 	}
 	first, second := twoLargest(lots)
-	if second.host != nil && second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0 && first.host.model.knee() == 0) {
+	if second.host != nil && second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0) {
 		first = second
 	}
 	if whole && first.e > near { // of many, all that take the best at once would bury it
@@ -522,7 +550,7 @@
 func (b *Balancer) patience(profile int) float64 {
 	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.from.Tells, crowdMost, crowdUntold)
 	if b.table.own().rest.n > 0 {
-		crowd = crowdTold
+		crowd = math.Inf(1) // a full group is
 	}
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
