--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,10 +50,10 @@
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	nearFirst   = 0.5                    // of the knee, told in the mean: from there a group is near full now and then
 	nearLast    = 1.0                    // from there it always is
-	fullFirst   = 1.2                    // the same for a group that is full
-	fullLast    = 1.5                    // ditto
+	fullFirst   = 1.5                    // the same for a group that is full
+	fullLast    = 2.0                    // ditto
 	restStep    = 1.0                    // smoothing of what a host reports of others' hops: reports are noisy
-	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
+	crowdUntold = 2.0                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -376,7 +376,7 @@
 		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || b.table.own().rest.n > 0 || w.value < b.free[i] {
+		if b.from.Tells || w.value < b.free[i] {
 			b.free[i] = w.value
 		} else if w.n*workStep < 1 { // a day may begin in a jam
 			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
@@ -549,9 +549,6 @@
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
 	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.from.Tells, crowdMost, crowdUntold)
-	if b.table.own().rest.n > 0 {
-		crowd = math.Inf(1) // a full group is
-	}
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
