--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,9 @@
 	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
+	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
+	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamLast     = 1.6                    // all are
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -50,10 +53,10 @@
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	nearFirst   = 0.5                    // of the knee, told in the mean: from there a group is near full now and then
 	nearLast    = 1.0                    // from there it always is
-	fullFirst   = 1.5                    // the same for a group that is full
-	fullLast    = 2.0                    // ditto
+	fullFirst   = 1.2                    // the same for a group that is full
+	fullLast    = 1.8                    // ditto
 	restStep    = 1.0                    // smoothing of what a host reports of others' hops: reports are noisy
-	crowdUntold = 2.0                    // the same where only the own ones are known, and the time is the least
+	crowdUntold = 1.35                   // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -329,6 +332,7 @@
 		h.lat.add(took, paceStep)
 		if crowd == 1 || h.model.knee() > 0 || !b.guesses(h) {
 			work.add(took/crowd/h.pace.value, workStep)
+			b.slow[profile].add(took/crowd/h.pace.value, slowStep)
 			h.learnPace(took / crowd / work.value)
 		}
 	case TimedOut, CalledOff:
@@ -374,10 +378,13 @@
 		if w.n-b.was[i] > priorPaces { // the time of one rolled back each time would drift away
 			w.value *= mean.value
 		}
+		if b.table.own().rest.n > 0 && w.n-b.was[i] < priorPaces { // or one jam is taken for the next, with all rolled back
+			w.value += forget * (b.free[i] - w.value)
+		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || w.value < b.free[i] {
-			b.free[i] = w.value
+		if usual := either(b.table.own().rest.n > 0, b.slow[i].value, w.value); b.from.Tells || usual < b.free[i] {
+			b.free[i] = usual
 		} else if w.n*workStep < 1 { // a day may begin in a jam
 			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
 		}
@@ -609,6 +616,12 @@
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
+	if h != nil && h.model.knee() > 0 {
+		if b.full(b.work[t.profile].value/b.free[t.profile], jamFirst, jamLast) {
+			return nil
+		}
+		e = 0
+	}
 	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
 		return nil
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -28,6 +28,7 @@
 	chance chance
 
 	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	slow    []average // the same over far more answers
 	free    []float64 // by profile: the least that has been of late, as when hosts are free
 	was     []float64 // by profile: answers counted in its time a second ago
 	errs    average   // share of errors at all hosts
@@ -48,7 +49,7 @@
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		cold:   cold,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
+		work: make([]average, len(profiles)), slow: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
 	if price.Held {
