--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,12 +62,14 @@
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
-	reachLeast  = 3                      // hosts that a gateway keeps to, where connections cost: one may fail
-	useEach     = 2.0                    // transactions a second and host: enough to know it by, and keep it open
+	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
+	useEach     = 4.0                    // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
 	probeMost   = 4.0                    // at once: a host or two of each zone
 	probeAge    = 500 * time.Millisecond // of a report after which one is worth a probe: some hops' time
+	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
+	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -426,6 +428,9 @@
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
 
+// nearFull tells whether a host holds as much as its cores do at once, where that is told.
+func (h *host) nearFull() bool { return h.model.knee() > 0 && h.out()+1 > h.model.knee() }
+
 // guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be
 // far less than it is by it, and a full second's transactions were turned away.
 func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
@@ -493,11 +498,12 @@
 
 // draw picks from a group by weight and redraws once; over near it takes the host that promises most.
 func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
+	reach := b.reach()
 	var lots []lot
 	var mean, busy average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts {
-		if len(lots) == b.reach() {
+		if len(lots) >= reach {
 			break
 		}
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
@@ -650,14 +656,27 @@
 		b.out.Probe(h.ID) // it may be full by now
 	}
 	b.unsaid(h)
+	wait, idle := b.doubt(t, h)
 	h.used = b.now
 	t.out++
-	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.out(), then: func() {
+	t.hops = append(t.hops, hop{host: h, at: b.now, idle: idle, load: h.out(), then: func() {
 		if t.out == 0 && !b.again(t) {
 			b.finish(t)
 		}
 	}})
-	b.out.Hop(t.id, h.ID, t.stop-b.now)
+	b.out.Hop(t.id, h.ID, wait)
+}
+
+// doubt is how long a hop may wait, and for how long its connection has stood unused where it may have been dropped
+// unseen by now: it then waits no longer than an answer usually takes, so that another host can still be tried. After
+// longer than one was found dead its like is closed, and the hop opens a new one.
+func (b *Balancer) doubt(t *tx, h *host) (wait, idle time.Duration) {
+	wait, idle = t.stop-b.now, b.now-h.used
+	if !b.price.Held || h.used == 0 || idle < doubtFrom || h.own > 1 {
+		return wait, 0
+	}
+	h.doubts++
+	return min(wait, time.Duration(doubtTimes*b.expect(h, t.profile))), max(idle, 1)
 }
 
 // again sends a further hop where a host can still answer in time.
@@ -698,6 +717,14 @@
 		return
 	}
 	k.over, k.end, t.out, k.host.own = true, r.End, t.out-1, k.host.own-1
+	if r.End == Committed {
+		k.host.used = now
+	}
+	if k.idle > 0 {
+		if k.host.doubts--; r.End == TimedOut {
+			b.out.Release(k.host.ID)
+		}
+	}
 	b.unsaid(k.host)
 	if !b.draws(k.host.group) {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
--- a/logic/state.go
+++ b/logic/state.go
@@ -367,6 +367,7 @@
 	again  bool           // to be told of once more
 	unsaid bool           // to be told of soon
 	rank   float64        // its place in the order in which this gateway takes hosts
+	doubts int            // hops out on a connection that may have been dropped unseen
 	used   time.Duration  // when a hop last went there, 0 once its connections are given back
 	ends   []Held         // how own hops ended, not yet told
 	health
@@ -562,7 +563,8 @@
 type hop struct {
 	host *host
 	at   time.Duration
-	load float64 // hops at the host when it was sent, itself included
+	idle time.Duration // for which its connection had stood unused, where that matters
+	load float64       // hops at the host when it was sent, itself included
 	over bool
 	end  End
 	then func() // what comes next where the hop has not answered
