--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,7 @@
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
+	reachSpare  = 0                      // hosts beyond those that stand in for them
 	useEach     = 4.0                    // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
@@ -119,7 +120,7 @@
 // its traffic keeps busy, in an order of its own, so that all together spread evenly.
 func (b *Balancer) reach() int {
 	if !b.price.Held {
-		return math.MaxInt
+		return len(b.table.ready)
 	}
 	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
 }
@@ -502,8 +503,8 @@
 	var lots []lot
 	var mean, busy average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
-	for _, h := range g.hosts {
-		if len(lots) >= reach {
+	for i, h := range g.hosts {
+		if len(lots) >= reach || i >= reach+reachSpare {
 			break
 		}
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
