--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,7 @@
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
 	reachSpare  = 0                      // hosts beyond those that stand in for them
-	useEach     = 4.0                    // transactions a second and host: enough to know it by, and keep it open
+	useEach     = 12.0                    // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
 	probeMost   = 4.0                    // at once: a host or two of each zone
