--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,9 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
-	jamLast     = 1.6                    // all are
+	jamFirst    = 1.4                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamStep     = 0.05                   // smoothing of that: the last twenty answers
+	jamLast     = 2.0                    // all are
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -64,7 +65,7 @@
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
 	reachSpare  = 0                      // hosts beyond those that stand in for them
-	useEach     = 12.0                    // transactions a second and host: enough to know it by, and keep it open
+	useEach     = 12.0                   // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
 	probeMost   = 4.0                    // at once: a host or two of each zone
@@ -94,6 +95,7 @@
 	for _, g := range b.table.groups {
 		reweigh(g.hosts)
 		g.rest.value -= forget * g.rest.value
+		g.jam.value -= forget * max(0, g.jam.value-1)
 	}
 	b.rate.add(b.taken, rateStep)
 	b.taken = 0
@@ -336,6 +338,7 @@
 		if crowd == 1 || h.model.knee() > 0 || !b.guesses(h) {
 			work.add(took/crowd/h.pace.value, workStep)
 			b.slow[profile].add(took/crowd/h.pace.value, slowStep)
+			h.group.jam.add(took/crowd/b.free[profile], jamStep)
 			h.learnPace(took / crowd / work.value)
 		}
 	case TimedOut, CalledOff:
@@ -475,7 +478,8 @@
 			}
 			h, e, busy := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
 			if h == nil || g != t.home && e > most ||
-				b.load(g) >= 0 && b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) {
+				b.load(g) >= 0 && (b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) ||
+					b.full(g.jam.value, jamFirst, jamLast)) {
 				continue
 			}
 			pick, expected = h, e
@@ -624,9 +628,6 @@
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
 	if h != nil && h.model.knee() > 0 {
-		if b.full(b.work[t.profile].value/b.free[t.profile], jamFirst, jamLast) {
-			return nil
-		}
 		e = 0
 	}
 	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -340,6 +340,7 @@
 	order  []*group // this one and then the others
 	queue  average  // hops waiting at a host here, where answers report it to one of many
 	rest   average  // hops of other gateways at a host here, where answers report what is held to one of many
+	jam    average  // what answers here take, crowds aside, of the least
 	skip   int      // those that drew here and were given up as silent
 	misses int      // answers in a row that did not come
 }
