--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -161,6 +161,10 @@
 			to = &l.Waiting
 		case "busy":
 			to = &l.Busy
+		case "rate":
+			to = &l.Rate
+		case "lat_ms":
+			to = &l.Took
 		default:
 			continue
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,6 +72,7 @@
 	probeAge    = 500 * time.Millisecond // of a report after which one is worth a probe: some hops' time
 	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
+	workFrom    = 4.0                    // hops worked on there up to which a draw does not mind: a key's host saves more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -312,6 +313,7 @@
 		h.group.rest = average{h.rest, 1}
 	} else if b.alone() && l.Waiting >= 0 {
 		h.group.queue.add(l.Waiting, paceStep)
+		h.work, h.workAt = l.Waiting+max(0, l.Rate*l.Took/1000), b.now
 	}
 }
 
@@ -528,6 +530,9 @@
 			}
 			continue
 		}
+		if h.workAt > 0 && b.now-h.workAt < staleAge {
+			x *= max(workFrom, h.work)
+		}
 		mean.add(x, 0)
 		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
 			busy.add(h.busy, 0)
@@ -543,6 +548,9 @@
 	if whole && first.e > near { // of many, all that take the best at once would bury it
 		first = slices.MinFunc(lots, func(x, y lot) int { return cmp.Compare(x.e, y.e) })
 	}
+	if first.host != nil && first.host.workAt > 0 {
+		first.e = b.expect(first.host, t.profile)
+	}
 	return first.host, first.e, busy.value
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -386,6 +386,8 @@
 	probed  time.Duration // when last probed beside answers
 	rest    float64       // hops of other gateways there, as it last reported
 	restAt  time.Duration // when that came
+	work    float64       // hops that wait or are worked on there, by its queue, rate and time
+	workAt  time.Duration // when that came
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, if any are
 	whole   breaker
--- a/logic/types.go
+++ b/logic/types.go
@@ -155,10 +155,10 @@
 func (e End) NeverRan() bool { return e == Full || e == NoConnection || e == Moot }
 
 // Load is what a host reports of itself; a figure below zero was not reported.
-type Load struct{ Held, Waiting, Busy float64 }
+type Load struct{ Held, Waiting, Busy, Rate, Took float64 }
 
 // NoLoad is a report without figures.
-var NoLoad = Load{-1, -1, -1}
+var NoLoad = Load{-1, -1, -1, -1, -1}
 
 // Result is how a hop ended.
 type Result struct {
