--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -132,18 +132,18 @@
 		fmt.Println(a.Status, a.NeverRan, a.Load, a.LoadErr, keep, written(a.ForClient(!keep)))
 	}
 	// Output:
-	// 200 false {7 2 0.61} <nil> true HTTP/1.1 200 OK|A: b|Content-Length: 2||hi
-	// 200 false {-1 -1 -1} <nil> true HTTP/1.1 200 OK|Content-Length: 2||hi
-	// 200 false {-1 -1 -1} <nil> false HTTP/1.1 200 OK|Content-Length: 2|Connection: close||hi
+	// 200 false {7 2 0.61 -1 -1} <nil> true HTTP/1.1 200 OK|A: b|Content-Length: 2||hi
+	// 200 false {-1 -1 -1 -1 -1} <nil> true HTTP/1.1 200 OK|Content-Length: 2||hi
+	// 200 false {-1 -1 -1 -1 -1} <nil> false HTTP/1.1 200 OK|Content-Length: 2|Connection: close||hi
 	// wrong: ends within the message
-	// 503 true {-1 -1 -1} <nil> true Content-Length: 0||
-	// 503 false {-1 -1 -1} <nil> true Content-Length: 0||
-	// 500 false {-1 -1 -1} malformed load report true Content-Length: 0||
+	// 503 true {-1 -1 -1 -1 -1} <nil> true Content-Length: 0||
+	// 503 false {-1 -1 -1 -1 -1} <nil> true Content-Length: 0||
+	// 500 false {-1 -1 -1 -1 -1} malformed load report true Content-Length: 0||
 	// wrong: malformed first line
 	// wrong: ends within the message
 	// wrong: ends within the message
 	// wrong: too many interim answers
-	// 404 false {-1 -1 -1} <nil> true HTTP/1.1 404 Not Found|Content-Length: 2||hi
+	// 404 false {-1 -1 -1 -1 -1} <nil> true HTTP/1.1 404 Not Found|Content-Length: 2||hi
 	// wrong: body too long
 	// wrong: ends within the message
 	// wrong: wrong length
