--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,9 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
-	jamStep     = 0.05                   // smoothing of that: the last twenty answers
-	jamLast     = 1.6                    // all are
+	jamFirst    = 1.4                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamStep     = 0.02                   // smoothing of that: the last twenty answers
+	jamLast     = 1.7                    // all are
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -52,8 +52,8 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	nearFirst   = 0.5                    // of the knee, told in the mean: from there a group is near full now and then
-	nearLast    = 1.0                    // from there it always is
+	nearFirst   = 0.8                    // of the knee, told in the mean: from there a group is near full now and then
+	nearLast    = 1.2                    // from there it always is
 	fullFirst   = 0.9                    // the same for a group that is full
 	fullLast    = 1.5                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
@@ -71,6 +71,7 @@
 	probeMost   = 4.0                    // at once: a host or two of each zone
 	probeAge    = 500 * time.Millisecond // of a report after which one is worth a probe: some hops' time
 	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
+	doubtFor    = 20 * time.Second       // after one was, hops on such ones wait less
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	workFrom    = 4.0                    // hops worked on there up to which a draw does not mind: a key's host saves more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
@@ -692,8 +693,10 @@
 	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
 		return wait, 0
 	}
-	h.doubts++
-	return min(wait, time.Duration(doubtTimes*b.expect(h, t.profile))), max(idle, 1)
+	if b.dropped > 0 && b.now-b.dropped < doubtFor {
+		wait = min(wait, time.Duration(doubtTimes*b.expect(h, t.profile)))
+	}
+	return wait, idle
 }
 
 // again sends a further hop where a host can still answer in time.
@@ -737,10 +740,9 @@
 	if r.End == Committed {
 		k.host.used = now
 	}
-	if k.idle > 0 {
-		if k.host.doubts--; r.End == TimedOut {
-			b.out.Release(k.host.ID)
-		}
+	if k.idle > 0 && r.End == TimedOut {
+		b.dropped = now
+		b.out.Release(k.host.ID)
 	}
 	b.unsaid(k.host)
 	if !b.draws(k.host.group) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -27,16 +27,17 @@
 	due    dueTimes
 	chance chance
 
-	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
-	slow    []average // the same over far more answers
-	free    []float64 // by profile: the least that has been of late, as when hosts are free
-	was     []float64 // by profile: answers counted in its time a second ago
-	errs    average   // share of errors at all hosts
-	revenue average   // of the transactions taken
-	shed    int       // rolled back on arrival within the last second
-	taken   float64   // transactions taken within the last second
-	rate    average   // the same, smoothed
-	probes  float64   // that may be sent beside answers
+	work    []average     // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	slow    []average     // the same over far more answers
+	free    []float64     // by profile: the least that has been of late, as when hosts are free
+	was     []float64     // by profile: answers counted in its time a second ago
+	errs    average       // share of errors at all hosts
+	revenue average       // of the transactions taken
+	shed    int           // rolled back on arrival within the last second
+	taken   float64       // transactions taken within the last second
+	rate    average       // the same, smoothed
+	dropped time.Duration // when a hop on an unused connection last had no answer
+	probes  float64       // that may be sent beside answers
 
 	untold   []*host // hosts to tell of soon
 	relaying bool    // sums are due to be told
@@ -368,7 +369,6 @@
 	again  bool           // to be told of once more
 	unsaid bool           // to be told of soon
 	rank   float64        // its place in the order in which this gateway takes hosts
-	doubts int            // hops out on a connection that may have been dropped unseen
 	used   time.Duration  // when a hop last went there, 0 once its connections are given back
 	ends   []Held         // how own hops ended, not yet told
 	health
