--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,9 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.4                    // times the least time that answers take, crowds aside, from which some are rolled back
-	jamStep     = 0.02                   // smoothing of that: the last twenty answers
-	jamLast     = 1.7                    // all are
+	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamStep     = 0.05                   // smoothing of that: the last twenty answers
+	jamLast     = 1.6                    // all are
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -396,10 +396,15 @@
 		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if usual := either(b.told(), b.slow[i].value, w.value); b.from.Tells || usual < b.free[i] {
-			b.free[i] = usual
-		} else if w.n*workStep < 1 { // a day may begin in a jam
-			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
+		usual, step := *w, workStep
+		if b.told() { // a few short answers are not the least time
+			usual, step = b.slow[i], slowStep
+		}
+		switch {
+		case usual.n*step < 1 && !b.from.Tells && (b.told() || usual.value >= b.free[i]): // a day may begin in a jam
+			b.free[i] = min(usual.value, firstGuess*float64(b.profiles[i].Goal))
+		case b.from.Tells || usual.value < b.free[i]:
+			b.free[i] = usual.value
 		}
 	}
 	for _, m := range b.table.models {
