--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,8 +54,8 @@
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	nearFirst   = 0.8                    // of the knee, told in the mean: from there a group is near full now and then
 	nearLast    = 1.2                    // from there it always is
-	fullFirst   = 0.9                    // the same for a group that is full
-	fullLast    = 1.5                    // ditto
+	fullFirst   = 1.2                    // the same for a group that is full
+	fullLast    = 1.8                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
