--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,6 @@
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
 	crowdFree   = 2.0                    // hops a slot, the new one too, up to which a host is never near full
-	busyFull    = 0.85                   // reported utilisation of a full group, the paper's figure
 	admitMost   = 0.9                    // of the goal: time over which a transaction goes, or a group is full
 	admitTail   = 0.7                    // the same where a missed goal costs more than its own revenue
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
@@ -64,7 +63,6 @@
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
-	reachSpare  = 0                      // hosts beyond those that stand in for them
 	useEach     = 12.0                   // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
@@ -444,9 +442,6 @@
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
 
-// nearFull tells whether a host holds as much as its cores do at once, where that is told.
-func (h *host) nearFull() bool { return h.model.knee() > 0 && h.out()+1 > h.model.knee() }
-
 // guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be
 // far less than it is by it, and a full second's transactions were turned away.
 func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
@@ -488,7 +483,7 @@
 			if g != t.home && leaves && b.load(g) > b.load(t.home) {
 				continue
 			}
-			h, e, busy := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
+			h, e := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
 			if h == nil || g != t.home && e > most ||
 				b.load(g) >= 0 && (b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) ||
 					b.full(g.jam.value, jamFirst, jamLast)) {
@@ -500,7 +495,7 @@
 			} else if leaves {
 				most = math.Inf(1)
 			} else if !barred && !h.closed(t.profile) || // on trial
-				e <= most && (h.model.knee() > 0 || h.crowd(h.out()+1) <= crowdFree || e <= near && busy < busyFull) {
+				e <= most && (h.model.knee() > 0 || h.crowd(h.out()+1) <= crowdFree || e <= near) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
@@ -514,15 +509,11 @@
 }
 
 // draw picks from a group by weight and redraws once; over near it takes the host that promises most.
-func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e, utilisation float64) {
-	reach := b.reach()
+func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e float64) {
 	var lots []lot
-	var mean, busy average
+	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
-	for i, h := range g.hosts {
-		if len(lots) >= reach || i >= reach+reachSpare {
-			break
-		}
+	for _, h := range g.hosts[:min(b.reach(), len(g.hosts))] {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
@@ -532,7 +523,7 @@
 			// A trial must not cost a transaction that cannot run twice, unless its own profile is on trial.
 			if h.dueBy(t.profile) <= b.now && (t.prof.Effect != NonIdempotent || !h.whole.open) && b.rare() {
 				h.try(t.profile, b.now+coolMost)
-				return h, x, 0
+				return h, x
 			}
 			continue
 		}
@@ -540,9 +531,6 @@
 			x *= max(workFrom, h.work)
 		}
 		mean.add(x, 0)
-		if h.busyAt > 0 && b.now-h.busyAt < staleAge {
-			busy.add(h.busy, 0)
-		}
 		// All gateways draw the same hosts for a key, as these remember it.
 		luck := either(t.key != 0, &chance{t.key, uint32(h.ID)}, &b.chance)
 		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.slowness() / h.weight})
@@ -557,7 +545,7 @@
 	if first.host != nil && first.host.workAt > 0 {
 		first.e = b.expect(first.host, t.profile)
 	}
-	return first.host, first.e, busy.value
+	return first.host, first.e
 }
 
 // Admission.
