--- a/logic/logic.go
+++ b/logic/logic.go
@@ -131,7 +131,7 @@
 func (b *Balancer) alone() bool { return !b.from.Tells && b.place.Gateways > fewGateways }
 
 // told tells whether it learns by reports what others have out at each host.
-func (b *Balancer) told() bool { return b.alone() && b.from.Held }
+func (b *Balancer) told() bool { return b.from.Held && !b.from.Tells }
 
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
@@ -389,9 +389,6 @@
 		if w.n-b.was[i] > priorPaces { // the time of one rolled back each time would drift away
 			w.value *= mean.value
 		}
-		if b.told() && w.n-b.was[i] < priorPaces { // or one jam is taken for the next, with all rolled back
-			w.value += forget * (b.free[i] - w.value)
-		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
 		usual, step := *w, workStep
@@ -464,21 +461,13 @@
 	return first+b.chance.draw()*(last-first) < load
 }
 
-// leaves tells whether a transaction goes on to another group from its own.
-func (b *Balancer) leaves(g *group) bool {
-	if l := b.load(g); l >= 0 {
-		return b.full(l, nearFirst, nearLast)
-	}
-	return b.alone() && b.price.Connections && b.chance.draw() > b.table.evenPart(g)
-}
-
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
 // crossing is dear. If every breaker is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
 	near := min(fullFrom+2*dear, admitMost) * float64(t.prof.Goal)
 	for _, barred := range []bool{false, true} {
-		most, leaves := b.patience(t.profile), b.leaves(t.home)
+		most, leaves := b.patience(t.profile), b.full(b.load(t.home), nearFirst, nearLast)
 		for _, g := range t.home.order {
 			if g != t.home && leaves && b.load(g) > b.load(t.home) {
 				continue
--- a/logic/state.go
+++ b/logic/state.go
@@ -267,11 +267,6 @@
 	return t.own()
 }
 
-// evenPart is how many hosts a zone has of what an even part would be.
-func (t *table) evenPart(g *group) float64 {
-	return float64(len(g.hosts)*len(t.groups)) / float64(max(1, len(t.ready)))
-}
-
 // rank is a host's place in the order of this gateway, the same for all where it keeps to no order of its own.
 func (t *table) rank(id HostID) float64 {
 	return either(t.ranks == 0, &chance{}, &chance{t.ranks, uint32(id)}).draw()
