--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,9 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamFirst    = 1.2                    // times the least that answers take: from there a zone is jammed at times
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
-	jamLast     = 1.6                    // all are
+	jamLast     = 1.6                    // from there it always is
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -51,7 +51,7 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	nearFirst   = 0.8                    // of the knee, told in the mean: from there a group is near full now and then
+	nearFirst   = 0.8                    // of the knee, told last: from there a group is near full now and then
 	nearLast    = 1.2                    // from there it always is
 	fullFirst   = 1.2                    // the same for a group that is full
 	fullLast    = 1.8                    // ditto
@@ -63,7 +63,7 @@
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
-	useEach     = 12.0                   // transactions a second and host: enough to know it by, and keep it open
+	useEach     = 12.0                   // transactions a second and host: enough to keep a connection open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
 	probeMost   = 4.0                    // at once: a host or two of each zone
@@ -71,7 +71,7 @@
 	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
 	doubtFor    = 20 * time.Second       // after one was, hops on such ones wait less
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
-	workFrom    = 4.0                    // hops worked on there up to which a draw does not mind: a key's host saves more
+	workFrom    = 4.0                    // hops worked on there that a draw does not mind: keys save more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -118,8 +118,8 @@
 	}
 }
 
-// reach is how many hosts of a group a draw is among. Where open connections cost, a gateway keeps to as many as
-// its traffic keeps busy, in an order of its own, so that all together spread evenly.
+// reach is how many hosts of a group a draw is among. Where open connections cost, a gateway keeps to as
+// many as its traffic keeps busy, in an order of its own, so that all together spread evenly.
 func (b *Balancer) reach() int {
 	if !b.price.Connections {
 		return len(b.table.ready)
@@ -127,12 +127,6 @@
 	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
 }
 
-// alone tells whether this is one of many gateways that learn of each other only by what hosts report.
-func (b *Balancer) alone() bool { return !b.from.Tells && b.place.Gateways > fewGateways }
-
-// told tells whether it learns by reports what others have out at each host.
-func (b *Balancer) told() bool { return b.from.Held && !b.from.Tells }
-
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
 
@@ -255,24 +249,6 @@
 	}
 }
 
-// relay tells those that draw for other zones how the hosts of this one stand.
-func (b *Balancer) relay() {
-	b.at(b.now+relayTick, b.relay)
-	var sums []Held
-	for _, h := range b.table.ready {
-		if b.draws(h.group) && !h.whole.open && !b.silent(h) {
-			took := time.Duration(h.slowness() * b.work[0].value)
-			sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others, Took: took})
-		}
-	}
-	for _, g := range b.table.groups {
-		if !b.draws(g) {
-			b.out.Tell(b.drawer(g), sums)
-			g.missed(int(staleAge / relayTick))
-		}
-	}
-}
-
 // Health: breakers, latency and weight of a host.
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
@@ -296,28 +272,14 @@
 	return k.open != was
 }
 
-func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
-
 // silent tells whether a host answers nothing for far longer than its hops explain; it is then passed over.
 func (b *Balancer) silent(h *host) bool {
 	out := either(b.relaying && b.draws(h.group), h.own+h.others, h.own) // who draws is told of all answers
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-// heard takes a report; to one of many it speaks for the zone.
-func (b *Balancer) heard(h *host, l Load) {
-	h.report(l, b.now)
-	if b.told() && l.Held >= 0 {
-		h.tells(l, b.now)
-		h.group.rest = average{h.rest, 1}
-	} else if b.alone() && l.Waiting >= 0 {
-		h.group.queue.add(l.Waiting, paceStep)
-		h.work, h.workAt = l.Waiting+max(0, l.Rate*l.Took/1000), b.now
-	}
-}
-
-// freshen probes a host in reach that has not told lately what it holds: few transactions bring few answers, and in
-// a jam these come late.
+// freshen probes a host in reach that has not told lately what it holds: few transactions bring few
+// answers, and in a jam these come late.
 func (b *Balancer) freshen() {
 	b.probes = min(b.probes+probeEach, probeMost)
 	for _, g := range b.table.groups {
@@ -396,7 +358,7 @@
 			usual, step = b.slow[i], slowStep
 		}
 		switch {
-		case usual.n*step < 1 && !b.from.Tells && (b.told() || usual.value >= b.free[i]): // a day may begin in a jam
+		case usual.n*step < 1 && !b.from.Tells && (b.told() || usual.value >= b.free[i]): // begun in a jam?
 			b.free[i] = min(usual.value, firstGuess*float64(b.profiles[i].Goal))
 		case b.from.Tells || usual.value < b.free[i]:
 			b.free[i] = usual.value
@@ -447,18 +409,10 @@
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
 }
 
-// load is what the hosts of a group hold, of that at which their cores are all in use, as far as told; -1 where it is not.
-func (b *Balancer) load(g *group) float64 {
-	if !b.told() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
-		return -1
-	}
-	return (g.rest.value + 1) / g.hosts[0].model.knee()
-}
-
-// full tells by chance whether a load lies over one between first and last: what hosts told is some time old, and where
-// all gateways turned at one figure these would be empty and buried by turns.
+// full tells by chance whether a load lies over one between first and last: what hosts told is some time old,
+// and where all gateways turned at one figure hosts would be empty and buried by turns.
 func (b *Balancer) full(load, first, last float64) bool {
-	return first+b.chance.draw()*(last-first) < load
+	return load >= first && first+b.chance.draw()*(last-first) < load
 }
 
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
@@ -618,7 +572,7 @@
 }
 
 // admitted is the host for a new transaction, nil where it is rolled back: not on a guess. One long unheard
-// of is worth a hop, to see whether its estimate is out of date; to one of many most hosts are idle in any jam.
+// of is worth a hop, to see whether its estimate is out of date; one of many hears of few.
 func (b *Balancer) admitted(t *tx) *host {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
@@ -628,7 +582,8 @@
 	if h != nil && h.model.knee() > 0 {
 		e = 0
 	}
-	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
+	if h == nil || !b.guesses(h) && e > most &&
+		(h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
 		return nil
 	}
 	return h
@@ -667,9 +622,8 @@
 	b.out.Hop(t.id, h.ID, wait)
 }
 
-// doubt is how long a hop may wait, and for how long its connection has stood unused where it may have been dropped
-// unseen by now: it then waits no longer than an answer usually takes, so that another host can still be tried. After
-// longer than one was found dead its like is closed, and the hop opens a new one.
+// doubt is how long a hop may wait, and how long its connection has stood unused where it may have been
+// dropped unseen. Once one was, it waits no longer than answers usually take: another can still be tried.
 func (b *Balancer) doubt(t *tx, h *host) (wait, idle time.Duration) {
 	wait, idle = t.stop-b.now, b.now-h.used
 	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -91,6 +91,24 @@
 	b.untold = b.untold[:0]
 }
 
+// relay tells those that draw for other zones how the hosts of this one stand.
+func (b *Balancer) relay() {
+	b.at(b.now+relayTick, b.relay)
+	var sums []Held
+	for _, h := range b.table.ready {
+		if b.draws(h.group) && !h.whole.open && !b.silent(h) {
+			took := time.Duration(h.slowness() * b.work[0].value)
+			sums = append(sums, Held{Kind: Sum, Host: h.ID, Hops: h.own + h.others, Took: took})
+		}
+	}
+	for _, g := range b.table.groups {
+		if !b.draws(g) {
+			b.out.Tell(b.drawer(g), sums)
+			g.missed(int(staleAge / relayTick))
+		}
+	}
+}
+
 // asked takes out the first transaction of a profile that waits for a host drawn by another gateway.
 func (b *Balancer) asked(profile int) *tx {
 	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == profile })
@@ -102,6 +120,32 @@
 	return t
 }
 
+// alone tells whether this is one of many gateways that learn of each other only by what hosts report.
+func (b *Balancer) alone() bool { return !b.from.Tells && b.place.Gateways > fewGateways }
+
+// told tells whether it learns by reports what others have out at each host.
+func (b *Balancer) told() bool { return b.from.Held && !b.from.Tells }
+
+// load is what the hosts of a group hold, of that at which their cores are all in use, as far as told; -1 where it is not.
+func (b *Balancer) load(g *group) float64 {
+	if !b.told() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
+		return -1
+	}
+	return (g.rest.value + 1) / g.hosts[0].model.knee()
+}
+
+// heard takes a report; to one of many it speaks for the zone.
+func (b *Balancer) heard(h *host, l Load) {
+	h.report(l, b.now)
+	if b.told() && l.Held >= 0 {
+		h.tells(l, b.now)
+		h.group.rest = average{h.rest, 1}
+	} else if b.alone() && l.Waiting >= 0 {
+		h.group.queue.add(l.Waiting, paceStep)
+		h.work, h.workAt = l.Waiting+max(0, l.Rate*l.Took/1000), b.now
+	}
+}
+
 // hopOut is a hop that has not ended, nil where none is known.
 func (b *Balancer) hopOut(id TxID, i int) (*tx, *hop) {
 	t := b.txs[id]
@@ -422,6 +466,9 @@
 	h.pace.add(p, paceStep)
 }
 
+// closed tells whether neither breaker is open.
+func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
+
 // dueBy is when all its open breakers are due for a trial.
 func (h *host) dueBy(profile int) (by time.Duration) {
 	for _, k := range h.breakers(profile) {
