--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,7 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.2                    // times the least that answers take: from there a zone is jammed at times
+	jamFirst    = 1.2                    // times the least that answers take: a zone is jammed at times
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
 	jamLast     = 1.6                    // from there it always is
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
@@ -456,7 +456,8 @@
 	var lots []lot
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
-	for _, h := range g.hosts[:min(b.reach(), len(g.hosts))] {
+	more := either(t.ran() != nil, len(t.hops), 0) // or one that may have run could go nowhere in its group
+	for _, h := range g.hosts[:min(b.reach()+more, len(g.hosts))] {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -453,3 +453,147 @@
 	// Output:
 	// 7662 log: last second: 2 rolled back on arrival
 }
+
+// ofItsOwn begins a scene at one of 300 gateways of client processes, where answers tell what hosts hold and how busy they are
+// and connections cost; h hosts in each of two zones.
+func ofItsOwn(me, h int) *scene {
+	var hosts []logic.Host
+	for id := range 2 * h {
+		hosts = append(hosts, host(logic.HostID(id+1), string(rune('a'+id%2)), id+1))
+	}
+	order := order
+	order.Reach, order.Window, order.LateRevenue = logic.SameZone, 3*time.Second, 0.2
+	return startPriced(300, me, logic.Sources{Held: true, MayProbe: true},
+		logic.Price{Crossing: 0.03, Connections: true, Misses: true}, []logic.Profile{order}, nil, hosts...)
+}
+
+// told ends a transaction's first hop with what its host tells.
+func (s *scene) told(id int, took time.Duration, held, busy float64) {
+	l := logic.NoLoad
+	l.Held, l.Busy = held, busy
+	s.HopEnded(s.now, logic.TxID(id), 0, logic.Result{End: logic.Committed, Took: took, Load: l}, true)
+}
+
+// Hosts take fewer connections than there are gateways: each keeps to few hosts in an order of its own, spread evenly, and
+// gives back what it no longer uses. Its traffic says how many.
+func Example_few() {
+	firsts := map[logic.HostID]int{}
+	for me := range 300 {
+		s := ofItsOwn(me, 3)
+		s.quiet = true
+		for id := range 8 {
+			s.take(id, 0, -1)
+			s.wait(60 * ms)
+			s.told(id, 60*ms, 2, 0.2)
+		}
+		firsts[s.last]++
+		if len(s.hopsTo) > 1 {
+			fmt.Println("gateway", me, "goes to", s.hopsTo)
+		}
+	}
+	fmt.Println("gateways by host:", firsts)
+	s := ofItsOwn(1, 30)
+	s.quiet = true
+	for id := range 100 {
+		s.take(id, 0, -1)
+		s.wait(10 * ms)
+		s.told(id, 10*ms, 2, 0.2)
+	}
+	fmt.Println("hosts for a hundred a second:", len(s.hopsTo))
+	s = ofItsOwn(1, 3)
+	s.quiet = true
+	s.take(1, 0, -1)
+	s.told(1, 60*ms, 2, 0.2)
+	s.wait(9 * time.Second)
+	s.quiet = false
+	s.wait(3 * time.Second)
+	s.print()
+	// Output:
+	// gateways by host: map[1:106 3:108 5:86]
+	// hosts for a hundred a second: 4
+	// 11662 release 1
+}
+
+// What hosts tell they hold counts there: over the knee, which held over busy shows, nothing more goes to them, and what the
+// zone has no room for goes to the other or is rolled back at once.
+func Example_toldFull() {
+	for _, held := range []float64{2, 30} {
+		s := ofItsOwn(1, 1)
+		s.quiet = true
+		for id := range 20 {
+			s.take(id, 0, -1)
+			s.wait(60 * ms)
+			s.told(id, 60*ms, 2, 0.25)
+		}
+		s.hopsTo = map[logic.HostID]int{}
+		for _, id := range []logic.HostID{1, 2} {
+			s.Probed(s.now, id, logic.Load{Held: held, Waiting: -1, Busy: 1, Rate: -1, Took: -1})
+		}
+		s.quiet = false
+		s.take(21, 0, -1)
+		fmt.Println("hosts that hold", held)
+		s.print()
+	}
+	// Output:
+	// hosts that hold 2
+	// 2200 tx 21 hop to 1 for 1000
+	// hosts that hold 30
+	// 2200 tx 21 rolled back, come back after 59
+}
+
+// Connections may be dropped unseen: after one such loss a hop on one that stood unused waits no longer than an answer usually
+// takes, so that there is time for another in its zone; hops on connections in use wait as ever.
+func Example_dropped() {
+	s := ofItsOwn(1, 4)
+	s.quiet = true
+	for id := range 30 {
+		s.take(id, 0, -1)
+		s.wait(60 * ms)
+		s.told(id, 60*ms, 2, 0.25)
+	}
+	s.quiet = false
+	s.wait(2 * time.Second)
+	s.take(31, 0, -1)
+	s.wait(time.Second)
+	s.end(31, 0, logic.TimedOut, time.Second)
+	s.wait(2 * time.Second)
+	s.take(32, 0, -1)
+	s.wait(200 * ms)
+	s.take(33, 0, -1)
+	s.print()
+	// Output:
+	// 4800 probe 7
+	// 4800 probe 2
+	// 4800 tx 31 hop to 7 for 1000
+	// 5800 release 7
+	// 5800 tx 31 abandoned
+	// 7800 probe 7
+	// 7800 probe 2
+	// 7800 tx 32 hop to 7 for 161
+	// 8000 tx 33 hop to 7 for 1000
+}
+
+// A popular key's host is passed over while it works on far more than others, by its rate and time; a little more does not
+// count, as it remembers the key.
+func Example_popularKey() {
+	s := startAmong(300, 1, logic.Sources{}, []logic.Profile{read}, nil,
+		host(1, "a", 1), host(2, "a", 2), host(3, "a", 3))
+	s.quiet = true
+	for _, rate := range []float64{20, 40, 900} {
+		s.hopsTo = map[logic.HostID]int{}
+		for id := range 40 {
+			s.Take(s.now, logic.TxID(id), logic.Arrival{Tenant: -1, Budget: time.Second, Key: 77})
+			s.wait(20 * ms)
+			l := logic.Load{Held: -1, Waiting: 0, Busy: -1, Rate: 20, Took: 50}
+			if s.last == 3 {
+				l.Rate = rate
+			}
+			s.HopEnded(s.now, logic.TxID(id), 0, logic.Result{End: logic.Committed, Took: 20 * ms, Load: l}, true)
+		}
+		fmt.Println("rate", rate, "at host 3, hops:", s.hopsTo)
+	}
+	// Output:
+	// rate 20 at host 3, hops: map[1:1 3:39]
+	// rate 40 at host 3, hops: map[3:40]
+	// rate 900 at host 3, hops: map[1:39 3:1]
+}
--- a/logic/scene_test.go
+++ b/logic/scene_test.go
@@ -37,11 +37,16 @@
 
 func startAmong(gateways, me int, from logic.Sources, profiles []logic.Profile, tenants []logic.Tenant,
 	hosts ...logic.Host) *scene {
+	return startPriced(gateways, me, from, logic.Price{Crossing: 0.05}, profiles, tenants, hosts...)
+}
+
+func startPriced(gateways, me int, from logic.Sources, price logic.Price, profiles []logic.Profile,
+	tenants []logic.Tenant, hosts ...logic.Host) *scene {
 	s := &scene{now: time.Second, hopsTo: map[logic.HostID]int{}}
 	s.Balancer = logic.New(s, s.now, uint64(7+me),
 		logic.Place{Gateways: gateways, Me: me, Zone: "a", Zones: []string{"a", "b"}}, profiles, tenants,
 		logic.ColdRule{From: 0.25, WarmUp: 8 * time.Second, Multiple: 4, TipAfter: time.Second},
-		logic.HopRule{Most: 3, CallOff: true, BackMost: time.Second}, from, logic.Price{Crossing: 0.05})
+		logic.HopRule{Most: 3, CallOff: true, BackMost: time.Second}, from, price)
 	s.List(s.now, logic.Cached, hosts)
 	return s
 }
