--- a/logic/logic.go
+++ b/logic/logic.go
@@ -456,7 +456,7 @@
 	var lots []lot
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
-	more := either(t.ran() != nil, len(t.hops), 0)         // or one that may have run could go nowhere in its group
+	more := either(t.ran() != nil, len(t.hops), 0)         // or what may have run could go nowhere
 	for _, h := range g.hosts[:min(b.reach()+more, len(g.hosts))] {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
