--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,7 +55,6 @@
 	nearLast    = 1.2                    // from there it always is
 	fullFirst   = 1.2                    // the same for a group that is full
 	fullLast    = 1.8                    // ditto
-	restFrom    = 3.5                    // of the knee told at a host that is left alone for a cooldown
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
@@ -294,19 +293,9 @@
 	}
 }
 
-// rests bars a host that tells of far more than its cores do at once: one that has given way under a crowd turns slower
-// until it has been idle for a while, and would never be.
-func (b *Balancer) rests(h *host) {
-	if k := &h.whole; b.told() && !k.open && h.model.knee() > 0 && h.rest > restFrom*h.model.knee() {
-		k.open, k.trying, k.until = true, false, b.now+coolMost
-		b.out.Log(fmt.Sprintf("host %d rests", h.ID))
-	}
-}
-
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	b.heard(h, r.Load)
-	b.rests(h)
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
--- a/logic/state.go
+++ b/logic/state.go
@@ -173,7 +173,6 @@
 	b.now = now
 	if h := b.table.readyHost(id); h != nil {
 		b.heard(h, l)
-		b.rests(h)
 	}
 }
 
