--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,10 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.2                    // times the least that answers take: a zone is jammed at times
+	jamFirst    = 1.25                   // times the least that answers take: a zone is jammed at times
+	jamHeld     = 1.25                   // times as much where a host is near full besides
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
-	jamLast     = 1.6                    // from there it always is
+	jamLast     = 1.55                   // from there it always is
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -53,8 +54,8 @@
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	nearFirst   = 0.8                    // of the knee, told last: from there a group is near full now and then
 	nearLast    = 1.2                    // from there it always is
-	fullFirst   = 1.2                    // the same for a group that is full
-	fullLast    = 1.8                    // ditto
+	fullFirst   = 1.0                    // the same for a group that is full
+	fullLast    = 1.6                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
@@ -415,6 +416,13 @@
 	return load >= first && first+b.chance.draw()*(last-first) < load
 }
 
+// fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone's answers take long.
+func (b *Balancer) fullNow(h *host) bool {
+	load := (h.out() + 1) / h.model.knee()
+	return b.full(load, fullFirst, fullLast) ||
+		b.full(h.group.jam.value*either(load > nearFirst, jamHeld, 1), jamFirst, jamLast)
+}
+
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
 // crossing is dear. If every breaker is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
@@ -428,8 +436,7 @@
 			}
 			h, e := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
 			if h == nil || g != t.home && e > most ||
-				b.load(g) >= 0 && (b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) ||
-					b.full(g.jam.value, jamFirst, jamLast)) {
+				b.load(g) >= 0 && b.fullNow(h) {
 				continue
 			}
 			pick, expected = h, e
--- a/logic/state.go
+++ b/logic/state.go
@@ -272,7 +272,7 @@
 	own := max(0, slices.Index(zones, p.Zone))
 	for i := range zones {
 		at := (own + i) % len(zones)
-		t.groups = append(t.groups, &group{zone: zones[at], index: at})
+		t.groups = append(t.groups, &group{zone: zones[at], index: at, jam: average{1, 1 / jamStep}})
 	}
 	for i, g := range t.groups {
 		g.order = append(append(append(g.order, g), t.groups[:i]...), t.groups[i+1:]...)
