--- a/logic/state.go
+++ b/logic/state.go
@@ -141,7 +141,7 @@
 		h.tells(l, b.now)
 		h.group.rest = average{h.rest, 1}
 	} else if b.alone() && l.Waiting >= 0 {
-		h.group.queue.value += paceStep * min(max(l.Waiting-h.group.queue.value, -3), 3)
+		h.group.queue.add(l.Waiting, paceStep)
 		h.work, h.workAt = l.Waiting+max(0, l.Rate*l.Took/1000), b.now
 	}
 }
