--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,7 +63,7 @@
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
-	reachLeast  = 1                      // hosts that a gateway keeps to, where connections cost: one may fail
+	workAge     = 10 * time.Second       // for which what a host worked on is believed: buried ones stay so
 	useEach     = 12.0                   // transactions a second and host: enough to keep a connection open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
 	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
@@ -125,7 +125,7 @@
 	if !b.price.Connections {
 		return len(b.table.ready)
 	}
-	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
+	return max(1, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
 }
 
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
@@ -463,8 +463,7 @@
 	var lots []lot
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
-	more := either(t.ran() != nil, len(t.hops), 0)         // or what may have run could go nowhere
-	for _, h := range g.hosts[:min(b.reach()+more, len(g.hosts))] {
+	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
@@ -478,7 +477,7 @@
 			}
 			continue
 		}
-		if h.workAt > 0 && b.now-h.workAt < staleAge {
+		if h.workAt > 0 && b.now-h.workAt < workAge {
 			x *= max(workFrom, h.work)
 		}
 		mean.add(x, 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -615,6 +615,9 @@
 	then func() // what comes next where the hop has not answered
 }
 
+// reRun is how many hosts further a transaction may go that may have run: its group is all that it has.
+func (t *tx) reRun() int { return either(t.ran() != nil, len(t.hops), 0) }
+
 // ran is the first hop that may have run, or still may.
 func (t *tx) ran() *hop {
 	for i := range t.hops {
