--- a/logic/logic.go
+++ b/logic/logic.go
@@ -416,7 +416,7 @@
 	return load >= first && first+b.chance.draw()*(last-first) < load
 }
 
-// fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone's answers take long.
+// fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone is jammed.
 func (b *Balancer) fullNow(h *host) bool {
 	load := (h.out() + 1) / h.model.knee()
 	return b.full(load, fullFirst, fullLast) ||
