--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,6 @@
 	fullFirst   = 1.0                    // the same for a group that is full
 	fullLast    = 1.6                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
-	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -522,10 +521,7 @@
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
-	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.from.Tells, crowdMost, crowdUntold)
-	if b.told() {
-		crowd = crowdTold
-	}
+	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.told(), crowdTold, crowdMost)
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
