--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -66,12 +66,12 @@
 	// 1000 tx 8 hop to 1 for 1000
 	// 1000 tx 9 hop to 1 for 1000
 	// 1000 tx 10 hop to 1 for 1000
-	// 1000 tx 11 hop to 1 for 1000
-	// 1000 tx 12 hop to 1 for 1000
+	// 1000 tx 11 rolled back, come back after 100
+	// 1000 tx 12 rolled back, come back after 100
 	// 1000 tx 13 rolled back, come back after 100
 	// 1000 tx 14 rolled back, come back after 100
 	// 1000 tx 15 rolled back, come back after 100
-	// hops: map[1:12]
+	// hops: map[1:10]
 }
 
 // One answer lost says little of a host's pace: where a time-out is far longer than the work, that host, and with it all,
@@ -356,7 +356,7 @@
 	// Output:
 	// 2200 tx 100 hop to 1 for 1000
 	// 2200 tx 111 rolled back, come back after 60
-	// all at once: map[1:4 2:4]
+	// all at once: map[1:3 2:3]
 }
 
 // A profile that earns far more for the same work still gets room where the cheaper one is rolled back.
@@ -451,7 +451,7 @@
 	}
 	s.print()
 	// Output:
-	// 7662 log: last second: 2 rolled back on arrival
+	// 7662 log: last second: 3 rolled back on arrival
 }
 
 // ofItsOwn begins a scene at one of 300 gateways of client processes, where answers tell what hosts hold and how busy they are
