--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,9 +65,9 @@
 	workAge     = 10 * time.Second       // for which what a host worked on is believed: buried ones stay so
 	useEach     = 12.0                   // transactions a second and host: enough to keep a connection open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
-	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
-	probeMost   = 4.0                    // at once: a host or two of each zone
-	probeAge    = 500 * time.Millisecond // of a report after which one is worth a probe: some hops' time
+	probeEach   = 0.7                    // probes for a transaction at the most: a thousandth of its work
+	probeMost   = 8.0                    // at once: some hosts of each zone
+	probeAge    = 250 * time.Millisecond // of a report after which one is worth a probe: a hop or two
 	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
 	doubtFor    = 20 * time.Second       // after one was, hops on such ones wait less
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
