--- a/logic/logic.go
+++ b/logic/logic.go
@@ -444,7 +444,7 @@
 			} else if leaves {
 				most = math.Inf(1)
 			} else if !barred && !h.closed(t.profile) || // on trial
-				e <= most && (h.model.knee() > 0 || h.crowd(h.out()+1) <= crowdFree || e <= near) {
+				h.model.knee() > 0 || e <= most && (h.crowd(h.out()+1) <= crowdFree || e <= near) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
