--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,8 +52,8 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
-	nearFirst   = 0.8                    // of the knee, told last: from there a group is near full now and then
-	nearLast    = 1.2                    // from there it always is
+	nearFirst   = 1.0                    // of the knee, told last: from there a group is near full now and then
+	nearLast    = 1.4                    // from there it always is
 	fullFirst   = 1.0                    // the same for a group that is full
 	fullLast    = 1.6                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
