--- a/logic/logic.go
+++ b/logic/logic.go
@@ -523,7 +523,7 @@
 func (b *Balancer) patience(profile int) float64 {
 	// Where unserved shares count by tenfold steps a rollback is as bad as a late answer: none before the goal.
 	part := either(b.price.Misses, admitTail, either(b.price.Nines > 0, 1, admitMost))
-	crowd := either(b.load(b.table.own()) >= 0, crowdTold, crowdMost)
+	crowd := either(b.told(), crowdTold, crowdMost)
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
