--- a/logic/state.go
+++ b/logic/state.go
@@ -50,7 +50,8 @@
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
 		cold:   cold,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
-		work: make([]average, len(profiles)), slow: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
+		work: make([]average, len(profiles)), slow: make([]average, len(profiles)),
+		free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
 	if price.Connections {
