Test of clients over the room waits until the answered one is idle

Nothing in the gateway changes: a client over the room whose message is whole in that instant is told so. The waits for a silent and a torn client are made explicit as well.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -200,32 +200,38 @@
 		until(func() bool { return f.Accepted.Load() > accepted })
 		return nc
 	}
+	at := func(at doing, many int) { // an answer is read before the front has seen that it is written
+		until(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			n := 0
+			for c := range f.open {
+				if c.doing == at {
+					n++
+				}
+			}
+			return n == many
+		})
+	}
 	known := dial()
 	say(known, "known")
 	dial()
+	at(silent, 1)
 	time.Sleep(2 * speakWithin)
 	half := dial()
 	say(half, "for one that said nothing")
 	fmt.Fprint(half, "ha")
+	at(torn, 1)
 	time.Sleep(tornWithin + speakWithin)
 	third := dial()
 	say(third, "for one that sent half")
 	say(known, "still there")
 	fmt.Fprintln(known, "stay")
 	fmt.Fprintln(third, "stay")
-	until(func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		n := 0
-		for c := range f.open {
-			if c.doing == owed {
-				n++
-			}
-		}
-		return n == 2
-	})
+	at(owed, 2)
 	over := dial()
 	say(third, "answered, and soon idle")
+	at(idle, 1)
 	say(over, "over the room until it spoke")
 	f.Shut()
 	known.Close()
