--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,6 @@
 	jamHeld     = 1.25                   // times as much where a host is near full besides
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
 	jamLast     = 1.55                   // from there it always is
-	turnedSlow  = 2.0                    // times the least, crowds aside: no host that is merely full is so slow
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -279,10 +278,6 @@
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-// resting tells whether a host that turned slow is left alone: it gets well only once it has been almost idle. Then one
-// hop shows whether it has.
-func (b *Balancer) resting(h *host) bool { return h.rests > 0 && (b.now < h.rests || h.own > 0) }
-
 // freshen probes a host in reach that has not told lately what it holds: few transactions bring few
 // answers, and in a jam these come late.
 func (b *Balancer) freshen() {
@@ -307,10 +302,6 @@
 	case Committed:
 		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
-		if b.told() {
-			slow := took/h.crowd(max(load, r.Load.Held))/b.free[profile] >= turnedSlow
-			h.rests = either(slow, b.now+coolMost, 0)
-		}
 		if crowd == 1 || h.model.knee() > 0 || !b.guesses(h) {
 			work.add(took/crowd/h.pace.value, workStep)
 			b.slow[profile].add(took/crowd/h.pace.value, slowStep)
@@ -472,7 +463,7 @@
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
-		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) || b.resting(h) ||
+		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -428,7 +428,6 @@
 	restAt  time.Duration // when that came
 	work    float64       // hops that wait or are worked on there, by its queue, rate and time
 	workAt  time.Duration // when that came
-	rests   time.Duration // until when it is left alone as it turned slow, 0 for not
 	paced   time.Duration // when an answer or time-out last said something of its pace
 	waiting time.Duration // since when hops are out without any answer, if any are
 	whole   breaker
