The knee is learnt from calm reports only, from a first guess of 8 hops

Gateways were told 9 to 20 hops at sending and still sent: the knee stood at 25 to 70 within the first two seconds (tells in state.go), as utilisation is smoothed by the host and lags what it holds.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,6 +52,10 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	kneeFirst   = 8.0                    // hops at which a host's cores are in use, before reports show it
+	kneePrior   = 4.0                    // reports for which that counts
+	kneeBusy    = 0.9                    // utilisation from which what is held says nothing of it
+	kneeCalm    = 0.15                   // change of utilisation up to which it goes with what is held
 	nearFirst   = 1.0                    // of the knee, told last: from there a group is near full now and then
 	nearLast    = 1.4                    // from there it always is
 	fullFirst   = 1.0                    // the same for a group that is full
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -510,7 +510,7 @@
 	s.print()
 	// Output:
 	// gateways by host: map[1:106 3:108 5:86]
-	// hosts for a hundred a second: 4
+	// hosts for a hundred a second: 6
 	// 11662 release 1
 }
 
@@ -541,6 +541,22 @@
 	// 2200 tx 21 rolled back, come back after 59
 }
 
+// As a day begins utilisation lags what hosts hold: at 40 hops reported with a third of the cores in use a host is full all
+// the same. Such reports had the knee at three to six times its value.
+func Example_rising() {
+	s := ofItsOwn(1, 1)
+	for i, held := range []float64{4, 14, 26, 40} {
+		for _, id := range []logic.HostID{1, 2} {
+			s.Probed(s.now, id, logic.Load{Held: held, Waiting: -1, Busy: 0.05 + 0.2*float64(i), Rate: -1, Took: -1})
+		}
+		s.wait(100 * ms)
+	}
+	s.take(1, 0, -1)
+	s.print()
+	// Output:
+	// 1400 tx 1 rolled back, come back after 100
+}
+
 // Connections may be dropped unseen: after one such loss a hop on one that stood unused waits no longer than an answer usually
 // takes, so that there is time for another in its zone; hops on connections in use wait as ever.
 func Example_dropped() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -137,9 +138,10 @@
 
 // heard takes a report; to one of many it speaks for the zone.
 func (b *Balancer) heard(h *host, l Load) {
+	calm := h.busyAt > 0 && b.now-h.busyAt < staleAge && math.Abs(l.Busy-h.busy) < kneeCalm
 	h.report(l, b.now)
 	if b.told() && l.Held >= 0 {
-		h.tells(l, b.now)
+		h.tells(l, calm, b.now)
 		h.group.rest = average{h.rest, 1}
 	} else if b.alone() && l.Waiting >= 0 {
 		h.group.queue.add(l.Waiting, paceStep)
@@ -451,11 +453,17 @@
 // knee is the hops at which all cores of such a host are in use, 0 where that is not known.
 func (m *model) knee() float64 { return either(m.busy.n > 0, m.held.value/m.busy.value, 0) }
 
-// tells takes in what others have out at the host, and what its like hold as their cores fill.
-func (h *host) tells(l Load, now time.Duration) {
+// tells takes in what others have out at the host, and what its like hold as their cores fill. That only while the load is
+// calm: utilisation is of a time, what is held of its end, and as a day began the knee came out at three to six times its
+// value, so that hosts were buried in the first second.
+func (h *host) tells(l Load, calm bool, now time.Duration) {
 	h.rest, h.restAt = max(0, l.Held-float64(h.own)), now
-	if m := h.model; l.Busy > 0 && l.Held >= 1 {
-		if m.usual.add(l.Held, workStep); l.Held <= m.usual.value {
+	m := h.model
+	if m.held.n == 0 {
+		m.held, m.busy = average{kneeFirst / 2, kneePrior}, average{0.5, kneePrior}
+	}
+	if l.Busy > 0 && l.Held >= 1 {
+		if m.usual.add(l.Held, workStep); l.Held <= m.usual.value && l.Busy < kneeBusy && calm {
 			m.held.add(l.Held, workStep)
 			m.busy.add(l.Busy, workStep)
 		}
