--- a/logic/logic.go
+++ b/logic/logic.go
@@ -697,7 +697,7 @@
 		b.shaken = now
 		b.out.Release(k.host.ID)
 	case r.End == NoConnection && b.price.Connections:
-		b.shaken, k.host.unmade = now, now+time.Duration((0.75+b.chance.draw()/2)*float64(coolFirst))
+		b.shaken, k.host.unmade = now, now+time.Duration((0.75+b.chance.draw()/2)*float64(coolMost))
 	}
 	b.unsaid(k.host)
 	if !b.draws(k.host.group) {
