--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,7 +74,6 @@
 	probeAge    = 250 * time.Millisecond // of a report after which one is worth a probe: a hop or two
 	doubtFrom   = 300 * time.Millisecond // unused for so long a connection may have been dropped unseen
 	doubtFor    = 20 * time.Second       // after one was, hops on such ones wait less
-	unmadeFor   = 10 * time.Second       // without a new connection to a host after one failed: each costs it as much as transactions
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	workFrom    = 4.0                    // hops worked on there that a draw does not mind: keys save more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
@@ -698,7 +697,7 @@
 		b.shaken = now
 		b.out.Release(k.host.ID)
 	case r.End == NoConnection && b.price.Connections:
-		b.shaken, k.host.unmade = now, now+time.Duration((0.75+b.chance.draw()/2)*float64(unmadeFor))
+		b.shaken, k.host.unmade = now, now+time.Duration((0.75+b.chance.draw()/2)*float64(coolMost))
 	}
 	b.unsaid(k.host)
 	if !b.draws(k.host.group) {
