--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,6 +16,7 @@
 	fewGateways = 20                     // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
 	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
+	stillFrom   = 200 * time.Millisecond // by which nothing is late but at a gateway that stood still
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
@@ -137,7 +138,7 @@
 // The host table: the list, drains and the cold budget.
 
 func (b *Balancer) List(now time.Duration, kind ListKind, hosts []Host) {
-	b.now = now
+	b.turn(now)
 	if kind == Lost {
 		b.table.lost++
 		b.out.Log(fmt.Sprintf("list lost, %d times in a row", b.table.lost))
@@ -214,7 +215,7 @@
 }
 
 func (b *Balancer) Told(now time.Duration, from int, held []Held) {
-	b.now = now
+	b.turn(now)
 	for _, k := range held {
 		switch h := b.table.readyHost(k.Host); {
 		case k.Profile >= len(b.profiles):
@@ -563,7 +564,7 @@
 }
 
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
-	b.now = now
+	b.turn(now)
 	p := &b.profiles[a.Profile]
 	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
@@ -684,7 +685,7 @@
 }
 
 func (b *Balancer) HopEnded(now time.Duration, id TxID, i int, r Result, over bool) {
-	b.now = now
+	b.turn(now)
 	t, k := b.hopOut(id, i)
 	if k == nil {
 		return
@@ -693,7 +694,7 @@
 	switch {
 	case r.End == Committed:
 		k.host.used, k.host.proving = now, false
-	case k.idle > 0 && r.End == TimedOut:
+	case k.idle > 0 && r.End == TimedOut && k.at >= b.still:
 		b.shaken = now
 		b.out.Release(k.host.ID)
 	case r.End == NoConnection && b.price.Connections:
@@ -703,7 +704,9 @@
 	if !b.draws(k.host.group) {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
 	}
-	b.learn(k.host, k.load, t.profile, r)
+	if k.at >= b.still { // else its time is that for which this gateway stood still, and its report as old
+		b.learn(k.host, k.load, t.profile, r)
+	}
 	if t.done || over {
 		k.then = func() { b.settle(t) }
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -589,6 +589,32 @@
 	// 8000 tx 33 hop to 2 for 1000
 }
 
+// What ends after the gateway itself stood still says nothing of a host: its time is the standstill's. It was taken for a jam.
+func Example_stoodStill() {
+	s := ofItsOwn(1, 1)
+	s.quiet = true
+	for id := range 30 {
+		s.take(id, 0, -1)
+		s.wait(60 * ms)
+		s.told(id, 60*ms, 2, 0.25)
+	}
+	for id := 30; id < 36; id++ {
+		s.take(id, 0, -1)
+	}
+	s.now += 2 * time.Second // no timer comes
+	for id := 30; id < 36; id++ {
+		s.told(id, 2*time.Second, 2, 0.25)
+	}
+	s.wait(0)
+	s.quiet = false
+	s.take(36, 0, -1)
+	s.print()
+	// Output:
+	// 4800 probe 1
+	// 4800 probe 2
+	// 4800 tx 36 hop to 1 for 1000
+}
+
 // Where connections are slow to come up each try costs its host as much as transactions: none is made for some two seconds after one
 // failed. What stood unused carries one hop in such times until that is answered: all others there would be lost with it.
 func Example_unmade() {
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	taken   float64       // transactions taken within the last second
 	rate    average       // the same, smoothed
 	shaken  time.Duration // when a connection last could not be made, or a hop on an unused one had no answer
+	still   time.Duration // until when this gateway last stood still
 	probes  float64       // that may be sent beside answers
 
 	untold   []*host // hosts to tell of soon
@@ -149,6 +150,13 @@
 	}
 }
 
+// turn begins a call. Where something should have been done long ago the gateway itself stood still until now.
+func (b *Balancer) turn(now time.Duration) {
+	if b.now = now; len(b.due.items) > 0 && now-b.due.items[0].at > stillFrom {
+		b.still = now
+	}
+}
+
 // hopOut is a hop that has not ended, nil where none is known.
 func (b *Balancer) hopOut(id TxID, i int) (*tx, *hop) {
 	t := b.txs[id]
@@ -159,21 +167,21 @@
 }
 
 func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
-	b.now = now
+	b.turn(now)
 	if t := b.txs[id]; t != nil {
 		t.done = true
 	}
 }
 
 func (b *Balancer) Left(now time.Duration, id TxID) {
-	b.now = now
+	b.turn(now)
 	if t := b.txs[id]; t != nil {
 		b.settle(t)
 	}
 }
 
 func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
-	b.now = now
+	b.turn(now)
 	if h := b.table.readyHost(id); h != nil {
 		b.heard(h, l)
 	}
@@ -241,7 +249,7 @@
 }
 
 func (b *Balancer) Timer(now time.Duration) {
-	b.now = now
+	b.turn(now)
 	for do := b.due.next(now); do != nil; do = b.due.next(now) {
 		do()
 	}
