--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,8 +36,7 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.25                   // times the least that answers take: a zone is jammed at times
-	jamHeld     = 1.25                   // times as much where a host is near full besides
+	jamFirst    = 1.25                    // times the least that answers take: a zone is jammed at times
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
 	jamLast     = 1.55                   // from there it always is
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
@@ -422,9 +421,7 @@
 
 // fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone is jammed.
 func (b *Balancer) fullNow(h *host) bool {
-	load := (h.out() + 1) / h.model.knee()
-	return b.full(load, fullFirst, fullLast) ||
-		b.full(h.group.jam.value*either(load > nearFirst, jamHeld, 1), jamFirst, jamLast)
+	return b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) || b.full(h.group.jam.value, jamFirst, jamLast)
 }
 
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
