--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.25                    // times the least that answers take: a zone is jammed at times
+	jamFirst    = 1.25                   // times the least that answers take: a zone is jammed at times
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
 	jamLast     = 1.55                   // from there it always is
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
