--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,6 @@
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
-	overFirst   = 0.5                    // of the knee from which it gives way there
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	workAge     = 10 * time.Second       // for which what a host worked on is believed: buried ones stay so
@@ -588,9 +587,7 @@
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
 	if h != nil && h.model.knee() > 0 {
-		if e = 0; t.over && b.full((h.out()+1)/h.model.knee(), overFirst, fullFirst) {
-			return nil
-		}
+		e = 0
 	}
 	if h == nil || !b.guesses(h) && e > most &&
 		(h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
