--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,8 @@
 	fullFirst   = 1.0                    // the same for a group that is full
 	fullLast    = 1.6                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
+	passTimes   = 1.5                    // times as many as of late pass at the most where hosts were full
+	passKeep    = 0.5                    // of those counted a second ago: some two seconds
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -103,6 +105,7 @@
 	}
 	b.rate.add(b.taken, rateStep)
 	b.taken = 0
+	b.came, b.passed = b.came*passKeep, b.passed*passKeep
 	b.giveBack()
 	b.settlePaces()
 	b.admit.refill(float64(b.place.Gateways))
@@ -569,6 +572,7 @@
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
 	b.taken++
+	b.came++
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	if b.told() && b.from.MayProbe {
@@ -587,7 +591,10 @@
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
 	if h != nil && h.model.knee() > 0 {
-		e = 0
+		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+1 {
+			return nil
+		}
+		b.passed++
 	}
 	if h == nil || !b.guesses(h) && e > most &&
 		(h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,6 +34,8 @@
 	was     []float64     // by profile: answers counted in its time a second ago
 	errs    average       // share of errors at all hosts
 	revenue average       // of the transactions taken
+	came    float64       // transactions taken of late
+	passed  float64       // of these, those that went to a host
 	shed    int           // rolled back on arrival within the last second
 	taken   float64       // transactions taken within the last second
 	rate    average       // the same, smoothed
