--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,7 +62,8 @@
 	fullLast    = 1.6                    // ditto
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	passTimes   = 1.5                    // times as many as of late pass at the most where hosts were full
-	passKeep    = 0.5                    // of those counted a second ago: some two seconds
+	passKeep    = 0.2                    // of those counted a second ago: some two seconds
+	passFree    = 3.0                    // that always pass: of few chance decides
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -439,8 +440,10 @@
 				continue
 			}
 			h, e := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
-			if h == nil || g != t.home && e > most ||
-				b.load(g) >= 0 && b.fullNow(h) {
+			if h == nil || g != t.home && e > most {
+				continue
+			}
+			if t.full = b.load(g) >= 0 && b.fullNow(h); t.full {
 				continue
 			}
 			pick, expected = h, e
@@ -572,7 +575,6 @@
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
 	b.taken++
-	b.came++
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	if b.told() && b.from.MayProbe {
@@ -590,8 +592,11 @@
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
+	if h != nil || t.full {
+		b.came++
+	}
 	if h != nil && h.model.knee() > 0 {
-		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+1 {
+		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+passFree {
 			return nil
 		}
 		b.passed++
