--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,10 +56,8 @@
 	kneePrior   = 4.0                    // reports for which that counts
 	kneeBusy    = 0.9                    // utilisation from which what is held says nothing of it
 	kneeCalm    = 0.15                   // change of utilisation up to which it goes with what is held
-	nearFirst   = 1.0                    // of the knee, told last: from there a group is near full now and then
-	nearLast    = 1.4                    // from there it always is
-	fullFirst   = 1.0                    // the same for a group that is full
-	fullLast    = 1.6                    // ditto
+	kneeFrom    = 1.0                    // of the knee, told last: from there a group is left, or a host full, now and then
+	kneeTo      = 1.6                    // from there always
 	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	passTimes   = 1.5                    // times as many as of late pass at the most where hosts were full
 	passKeep    = 0.2                    // of those counted a second ago: some two seconds
@@ -425,7 +423,7 @@
 
 // fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone is jammed.
 func (b *Balancer) fullNow(h *host) bool {
-	return b.full((h.out()+1)/h.model.knee(), fullFirst, fullLast) || b.full(h.group.jam.value, jamFirst, jamLast)
+	return b.full((h.out()+1)/h.model.knee(), kneeFrom, kneeTo) || b.full(h.group.jam.value, jamFirst, jamLast)
 }
 
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
@@ -434,16 +432,13 @@
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
 	near := min(fullFrom+2*dear, admitMost) * float64(t.prof.Goal)
 	for _, barred := range []bool{false, true} {
-		most, leaves := b.patience(t.profile), b.full(b.load(t.home), nearFirst, nearLast)
+		most, leaves := b.patience(t.profile), b.full(b.load(t.home), kneeFrom, kneeTo)
 		for _, g := range t.home.order {
 			if g != t.home && leaves && b.load(g) > b.load(t.home) {
 				continue
 			}
 			h, e := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
-			if h == nil || g != t.home && e > most {
-				continue
-			}
-			if t.full = b.load(g) >= 0 && b.fullNow(h); t.full {
+			if h == nil || g != t.home && e > most || b.load(g) >= 0 && b.fullNow(h) {
 				continue
 			}
 			pick, expected = h, e
@@ -574,7 +569,7 @@
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
-	b.taken++
+	b.taken, b.came = b.taken+1, b.came+1
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	if b.told() && b.from.MayProbe {
@@ -592,9 +587,6 @@
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
-	if h != nil || t.full {
-		b.came++
-	}
 	if h != nil && h.model.knee() > 0 {
 		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+passFree {
 			return nil
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,7 +34,7 @@
 	was     []float64     // by profile: answers counted in its time a second ago
 	errs    average       // share of errors at all hosts
 	revenue average       // of the transactions taken
-	came    float64       // transactions of late for which a host was drawn
+	came    float64       // transactions taken of late
 	passed  float64       // of these, those that went to a host
 	shed    int           // rolled back on arrival within the last second
 	taken   float64       // transactions taken within the last second
@@ -605,7 +605,6 @@
 	out     int // hops out
 	key     uint32
 	home    *group // the zone it came in
-	full    bool   // the host last drawn for it was full
 	over    bool   // beyond its tenant's share
 	done    bool   // it has its final answer, or its stream has begun
 }
