--- a/logic/logic.go
+++ b/logic/logic.go
@@ -52,15 +52,15 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdTold   = 1.35                   // the same where hosts tell what they hold
 	kneeFirst   = 8.0                    // hops at which a host's cores are in use, before reports show it
 	kneePrior   = 4.0                    // reports for which that counts
 	kneeBusy    = 0.9                    // utilisation from which what is held says nothing of it
 	kneeCalm    = 0.15                   // change of utilisation up to which it goes with what is held
-	kneeFrom    = 1.0                    // of the knee, told last: from there a group is left, or a host full, now and then
+	kneeFrom    = 1.0                    // of the knee: from there a group is left, a host full, by chance
 	kneeTo      = 1.6                    // from there always
-	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
 	passTimes   = 1.5                    // times as many as of late pass at the most where hosts were full
-	passKeep    = 0.2                    // of those counted a second ago: some two seconds
+	passKeep    = 0.2                    // of those counted a second ago: the last second or so
 	passFree    = 3.0                    // that always pass: of few chance decides
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
@@ -93,6 +93,10 @@
 		if b.now-h.restAt > staleAge {
 			h.restAt = 0
 		}
+		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
+			h.used = 0
+			b.out.Release(h.ID)
+		}
 		if b.from.Probes && !b.isCold(h) && b.draws(h.group) && (b.relaying || b.rare()) {
 			b.out.Probe(h.ID)
 		}
@@ -103,9 +107,7 @@
 		g.jam.value -= forget * max(0, g.jam.value-1)
 	}
 	b.rate.add(b.taken, rateStep)
-	b.taken = 0
-	b.came, b.passed = b.came*passKeep, b.passed*passKeep
-	b.giveBack()
+	b.taken, b.came, b.passed = 0, b.came*passKeep, b.passed*passKeep
 	b.settlePaces()
 	b.admit.refill(float64(b.place.Gateways))
 	if b.shed > 0 {
@@ -114,18 +116,7 @@
 	b.shed = 0
 }
 
-// giveBack closes connections that are no longer used, where they cost by themselves.
-func (b *Balancer) giveBack() {
-	for _, h := range b.table.ready {
-		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
-			h.used = 0
-			b.out.Release(h.ID)
-		}
-	}
-}
-
-// reach is how many hosts of a group a draw is among. Where open connections cost, a gateway keeps to as
-// many as its traffic keeps busy, in an order of its own, so that all together spread evenly.
+// reach is how many hosts of a group a draw is among: where connections cost, as many as traffic keeps busy.
 func (b *Balancer) reach() int {
 	if !b.price.Connections {
 		return len(b.table.ready)
@@ -159,8 +150,7 @@
 
 func (b *Balancer) isCold(h *host) bool { return h.Started > 0 && b.now-h.Started < b.cold.WarmUp }
 
-// coldRoom keeps this gateway's even share of a cold host's budget, by what warm hosts like it get through.
-// Many have less than a hop each: it is let into a draw by chance, as often as it is warm.
+// coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm.
 func (b *Balancer) coldRoom(h *host) bool {
 	if !b.isCold(h) {
 		return true
@@ -284,8 +274,7 @@
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-// freshen probes a host in reach that has not told lately what it holds: few transactions bring few
-// answers, and in a jam these come late.
+// freshen probes a host in reach that has not told lately what it holds: answers are few, or late in a jam.
 func (b *Balancer) freshen() {
 	b.probes = min(b.probes+probeEach, probeMost)
 	for _, g := range b.table.groups {
@@ -397,8 +386,7 @@
 
 // Group choice and draw.
 
-// crowd is how much longer a hop takes among so many on the slots that reports of its kind show; without
-// reports, hosts with one slot and with several are met halfway.
+// crowd is how much longer a hop takes among so many; without reports slots are met halfway.
 func (h *host) crowd(hops float64) float64 {
 	if knee := h.model.knee(); knee > 0 {
 		return math.Cbrt(1 + math.Pow(hops/knee, 3)) // its cores are in use ever more evenly
@@ -407,21 +395,19 @@
 	return either(slots == 0, (hops+1)/2, max(1, hops/max(1, slots)))
 }
 
-// guesses tells whether a host's slots are a guess that probes will replace. At a start, work was taken to be
-// far less than it is by it, and a full second's transactions were turned away.
+// guesses tells whether a host's slots are a guess: by it a start's transactions had been turned away.
 func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
 
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
 }
 
-// full tells by chance whether a load lies over one between first and last: what hosts told is some time old,
-// and where all gateways turned at one figure hosts would be empty and buried by turns.
+// full tells by chance: where all gateways turned at one figure hosts would be empty and buried by turns.
 func (b *Balancer) full(load, first, last float64) bool {
 	return load >= first && first+b.chance.draw()*(last-first) < load
 }
 
-// fullNow tells by chance whether a host is full: by what it holds, and sooner where its zone is jammed.
+// fullNow tells by chance whether a host is full, by what it holds, or its zone jammed.
 func (b *Balancer) fullNow(h *host) bool {
 	return b.full((h.out()+1)/h.model.knee(), kneeFrom, kneeTo) || b.full(h.group.jam.value, jamFirst, jamLast)
 }
@@ -579,8 +565,8 @@
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
-// admitted is the host for a new transaction, nil where it is rolled back: not on a guess. One long unheard
-// of is worth a hop, to see whether its estimate is out of date; one of many hears of few.
+// admitted is the host for a new transaction, nil where it is rolled back; one long unheard of is tried.
+// News of few hops held must not let in all tries at once: hardly more pass than passed of late.
 func (b *Balancer) admitted(t *tx) *host {
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
@@ -634,15 +620,13 @@
 	b.out.Hop(t.id, h.ID, wait)
 }
 
-// unsure tells whether nothing goes to a host for its connection: a new one could not be made just now, or in a time of
-// such troubles the first hop on one that is new or stood unused is not answered yet. All that went there with it was lost
-// with it, and each new connection costs a host as much as transactions, whether it comes up or not.
+// unsure tells whether nothing goes to a host: a new connection, which costs it much even if it fails, just
+// failed, or the first hop on an unproven one is out, with which all others there would be lost.
 func (b *Balancer) unsure(h *host) bool {
 	return b.now < h.unmade || h.proving && h.own > 0 && b.shaken > 0 && b.now-b.shaken < doubtFor
 }
 
-// doubt is how long a hop may wait, and how long its connection has stood unused where it may have been
-// dropped unseen. Once one was, it waits no longer than answers usually take: another can still be tried.
+// doubt is how long a hop may wait, and how long its connection stood unused, where it may have been dropped.
 func (b *Balancer) doubt(t *tx, h *host) (wait, idle time.Duration) {
 	wait, idle = t.stop-b.now, b.now-h.used
 	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -557,6 +557,39 @@
 	// 1400 tx 1 rolled back, come back after 100
 }
 
+// News of what hosts hold is some time old, and clients try again at once: after a second in which hosts were full, hosts that
+// tell of few do not let in all that comes.
+func Example_passed() {
+	s := ofItsOwn(1, 1)
+	s.quiet = true
+	tell := func(held, busy float64) {
+		for _, id := range []logic.HostID{1, 2} {
+			s.Probed(s.now, id, logic.Load{Held: held, Waiting: -1, Busy: busy, Rate: -1, Took: -1})
+		}
+	}
+	sent := func(from int) (n int) {
+		s.hopsTo = map[logic.HostID]int{}
+		for id := range 40 {
+			s.take(from+id, 0, -1)
+			s.end(from+id, 0, logic.Committed, 60*ms)
+		}
+		return s.hopsTo[1] + s.hopsTo[2]
+	}
+	tell(2, 0.25)
+	fmt.Println("of 40, where hosts were free:", sent(0))
+	tell(30, 1)
+	fmt.Println("of 40, where hosts are full:", sent(100))
+	s.wait(time.Second)
+	tell(30, 1)
+	sent(200)
+	tell(2, 0.25)
+	fmt.Println("of 40, where hosts have just been full:", sent(300))
+	// Output:
+	// of 40, where hosts were free: 40
+	// of 40, where hosts are full: 0
+	// of 40, where hosts have just been full: 16
+}
+
 // Connections may be dropped unseen: after one such loss a hop on one that stood unused waits no longer than an answer usually
 // takes, so that there is time for another in its zone, and while it is out nothing more goes there.
 func Example_dropped() {
