--- a/logic/logic.go
+++ b/logic/logic.go
@@ -686,7 +686,7 @@
 		b.shaken, k.host.unmade = now, now+time.Duration((0.75+b.chance.draw()/2)*float64(coolMost))
 	}
 	b.unsaid(k.host)
-	if !b.draws(k.host.group) {
+	if !b.draws(k.host.group) && k.at >= b.still {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
 	}
 	if k.at >= b.still { // else its time is that for which this gateway stood still, and its report as old
