--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,7 +57,7 @@
 	kneePrior   = 4.0                    // reports for which that counts
 	kneeBusy    = 0.9                    // utilisation from which what is held says nothing of it
 	kneeCalm    = 0.15                   // change of utilisation up to which it goes with what is held
-	kneeFrom    = 1.0                    // of the knee: from there a group is left, a host full, by chance
+	kneeFrom    = 1.1                    // of the knee: from there a group is left, a host full, by chance
 	kneeTo      = 1.6                    // from there always
 	passTimes   = 1.5                    // times as many as of late pass at the most where hosts were full
 	passKeep    = 0.2                    // of those counted a second ago: the last second or so
