--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -52,7 +52,8 @@
 		Tail float64 `json:"tail"`
 	} `json:"blend"`
 	Prices struct {
-		CrossZone float64 `json:"crossZone"`
+		CrossZone  float64 `json:"crossZone"`
+		Connection float64 `json:"connection"`
 	} `json:"prices"`
 	Report struct {
 		Via string `json:"via"`
@@ -136,7 +137,7 @@
 			logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
 				AskWithin: askWithin},
 			logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
-				Misses: o.Blend.Tail > 0})
+				Held: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0})
 	}
 	return in, nil
 }
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -67,6 +67,11 @@
 	d.then(h.exchange.GiveUp)
 }
 
+func (d *Desk) Release(host logic.HostID) {
+	to := d.list.target(host)
+	d.then(func() { d.pool.Close(to) })
+}
+
 func (d *Desk) Probe(host logic.HostID) {
 	d.Book.Probes.Add(1)
 	load, reported := logic.NoLoad, false
--- a/internal/simwire/sender.go
+++ b/internal/simwire/sender.go
@@ -69,6 +69,12 @@
 	s.end()
 }
 
+func (s *sender) Release(host logic.HostID) {
+	s.begin("release")
+	s.int(int64(host))
+	s.end()
+}
+
 // Tell takes as many messages as it needs.
 func (s *sender) Tell(to int, held []logic.Held) {
 	for msg := range given.Messages(held) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,10 @@
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
+	reachLeast  = 2                      // hosts that a gateway keeps to, where connections cost: one may fail
+	useEach     = 1.0                    // transactions a second and host: enough to know it by, and keep it open
+	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
+	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
 
@@ -73,6 +77,9 @@
 	for _, g := range b.table.groups {
 		reweigh(g.hosts)
 	}
+	b.rate.add(b.taken, rateStep)
+	b.taken = 0
+	b.giveBack()
 	b.settlePaces()
 	b.admit.refill(float64(b.place.Gateways))
 	if b.shed > 0 {
@@ -81,6 +88,25 @@
 	b.shed = 0
 }
 
+// giveBack closes connections that are no longer used, where they cost by themselves.
+func (b *Balancer) giveBack() {
+	for _, h := range b.table.ready {
+		if b.price.Held && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
+			h.used = 0
+			b.out.Release(h.ID)
+		}
+	}
+}
+
+// reach is how many hosts of a group a draw is among. Where open connections cost, a gateway keeps to as many as
+// its traffic keeps busy, in an order of its own, so that all together spread evenly.
+func (b *Balancer) reach() int {
+	if !b.price.Held {
+		return math.MaxInt
+	}
+	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
+}
+
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
 
@@ -396,6 +422,9 @@
 	var mean, busy average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts {
+		if len(lots) == b.reach() {
+			break
+		}
 		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
@@ -494,6 +523,7 @@
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
+	b.taken++
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
@@ -536,6 +566,7 @@
 		b.out.Probe(h.ID) // it may be full by now
 	}
 	b.unsaid(h)
+	h.used = b.now
 	t.out++
 	t.hops = append(t.hops, hop{host: h, at: b.now, load: h.out(), then: func() {
 		if t.out == 0 && !b.again(t) {
--- a/logic/scene_test.go
+++ b/logic/scene_test.go
@@ -65,8 +65,9 @@
 func (s *scene) RollBack(id logic.TxID, after time.Duration) {
 	s.say("tx %d rolled back, come back after %d", id, after/ms)
 }
-func (s *scene) Abandon(id logic.TxID) { s.say("tx %d abandoned", id) }
-func (s *scene) Probe(id logic.HostID) { s.say("probe %d", id) }
+func (s *scene) Abandon(id logic.TxID)   { s.say("tx %d abandoned", id) }
+func (s *scene) Probe(id logic.HostID)   { s.say("probe %d", id) }
+func (s *scene) Release(id logic.HostID) { s.say("release %d", id) }
 func (s *scene) Tell(to int, held []logic.Held) {
 	for _, k := range held {
 		what := [...]string{"out", "sum", "ended", "asks", "answer"}[k.Kind]
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"maps"
@@ -32,6 +33,8 @@
 	errs    average   // share of errors at all hosts
 	revenue average   // of the transactions taken
 	shed    int       // rolled back on arrival within the last second
+	taken   float64   // transactions taken within the last second
+	rate    average   // the same, smoothed
 
 	untold   []*host // hosts to tell of soon
 	relaying bool    // sums are due to be told
@@ -47,6 +50,9 @@
 		work: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
+	if price.Held {
+		b.table.ranks = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(place.Me))) | 1
+	}
 	b.table.addGroups(place)
 	for _, t := range tenants {
 		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
@@ -208,6 +214,7 @@
 	ready  []*host  // by id
 	groups []*group // the own one first
 	lost   int      // calls for the list lost in a row
+	ranks  uint32   // seed of the order in which this gateway takes hosts
 }
 
 func (t *table) addGroups(p Place) {
@@ -257,6 +264,11 @@
 	return t.own()
 }
 
+// rank is a host's place in the order of this gateway, the same for all where it keeps to no order of its own.
+func (t *table) rank(id HostID) float64 {
+	return either(t.ranks == 0, &chance{}, &chance{t.ranks, uint32(id)}).draw()
+}
+
 // merge takes a list in and returns the hosts that are new or have started again.
 func (t *table) merge(kind ListKind, hosts []Host) (fresh []*host) {
 	if kind != Cached {
@@ -271,7 +283,7 @@
 		h := t.byID[entry.ID]
 		if h == nil || entry.State == Ready && h.Started != entry.Started {
 			if h == nil {
-				h = &host{heldBy: map[int]heldBy{}}
+				h = &host{heldBy: map[int]heldBy{}, rank: t.rank(entry.ID)}
 				t.byID[entry.ID] = h
 			}
 			fresh = append(fresh, h)
@@ -298,6 +310,9 @@
 			delete(t.byID, id)
 		}
 	}
+	for _, g := range t.groups {
+		slices.SortStableFunc(g.hosts, func(x, y *host) int { return cmp.Compare(x.rank, y.rank) })
+	}
 	return fresh
 }
 
@@ -340,6 +355,8 @@
 	said   int            // own hops out as last told
 	again  bool           // to be told of once more
 	unsaid bool           // to be told of soon
+	rank   float64        // its place in the order in which this gateway takes hosts
+	used   time.Duration  // when a hop last went there, 0 once its connections are given back
 	ends   []Held         // how own hops ended, not yet told
 	health
 	sent []time.Duration // hops within the last TipAfter while cold
--- a/logic/types.go
+++ b/logic/types.go
@@ -40,6 +40,8 @@
 	// Abandon answers finally and promises nothing.
 	Abandon(id TxID)
 	Probe(host HostID)
+	// Release closes the connections to a host on which nothing is out.
+	Release(host HostID)
 	// Tell tells another gateway, or all with -1, what is out at hosts.
 	Tell(to int, held []Held)
 	// AskList asks for the list and for its changes from then on.
@@ -199,5 +201,6 @@
 type Price struct {
 	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
 	ByWork   bool    // revenue is counted for each unit of work
+	Held     bool    // open connections cost by themselves
 	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
 }
