--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -135,6 +135,7 @@
 			logic.HopRule{Most: o.Limits.MostHops, CallOff: o.Limits.Cancelling,
 				BackMost: back},
 			logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
+				MayProbe:  o.Report.Via == "answers" && o.Limits.Probes,
 				AskWithin: askWithin},
 			logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
 				Held: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,9 +48,9 @@
 	yieldFrom   = 2.5                    // times the revenue for the same work to which a profile yields
 	yieldPart   = 0.8                    // of the expected time at which that one would be rolled back
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
+	crowdNear   = 1.3                    // the same where hosts tell what they hold: its cores are nearly all in use
 	crowdTold   = 1.5                    // the same where hosts tell what they hold
 	restStep    = 0.5                    // smoothing of what a host reports of others' hops: reports are noisy
-	kneeBusy    = 0.7                    // reported utilisation up to which hops over it show the knee
 	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
@@ -58,8 +58,11 @@
 	askFrom     = 8                      // hops at a host of a kind never seen full that make it worth a probe
 	goalSlack   = 5 * time.Millisecond   // by which an answer must come before the goal to reach its client
 	reachLeast  = 2                      // hosts that a gateway keeps to, where connections cost: one may fail
-	useEach     = 1.0                    // transactions a second and host: enough to know it by, and keep it open
+	useEach     = 4.0                    // transactions a second and host: enough to know it by, and keep it open
 	giveBackAge = 10 * time.Second       // unused for so long a connection is closed, where it costs
+	probeEach   = 0.5                    // probes for a transaction at the most: far less work than one
+	probeMost   = 4.0                    // at once: a host or two of each zone
+	probeAge    = 500 * time.Millisecond // of a report after which one is worth a probe: some hops' time
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
 	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
 )
@@ -74,7 +77,7 @@
 		}
 		h.again = false
 		if b.now-h.restAt > staleAge {
-			h.rest += restStep * (h.group.rest.value - h.rest)
+			h.restAt = 0
 		}
 		if b.from.Probes && !b.isCold(h) && b.draws(h.group) && (b.relaying || b.rare()) {
 			b.out.Probe(h.ID)
@@ -82,6 +85,7 @@
 	}
 	for _, g := range b.table.groups {
 		reweigh(g.hosts)
+		g.rest.value -= forget * g.rest.value
 	}
 	b.rate.add(b.taken, rateStep)
 	b.taken = 0
@@ -287,14 +291,34 @@
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-// learn takes what the end of a hop says of its host.
-func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
-	h.report(r.Load, b.now)
-	if b.alone() && r.Load.Held >= 0 {
+// heard takes a report; to one of many it speaks for the zone.
+func (b *Balancer) heard(h *host, l Load) {
+	h.report(l, b.now)
+	if b.alone() && l.Held >= 0 {
 		h.group.rest.add(h.rest, paceStep)
-	} else if b.alone() && r.Load.Waiting >= 0 { // one answer speaks for the zone
-		h.group.queue.add(r.Load.Waiting, paceStep)
+	} else if b.alone() && l.Waiting >= 0 {
+		h.group.queue.add(l.Waiting, paceStep)
 	}
+}
+
+// freshen probes a host in reach that has not told lately what it holds: few transactions bring few answers, and in
+// a jam these come late.
+func (b *Balancer) freshen() {
+	b.probes = min(b.probes+probeEach, probeMost)
+	for _, g := range b.table.groups {
+		for _, h := range g.hosts[:min(b.reach(), len(g.hosts))] {
+			if b.probes >= 1 && !b.isCold(h) && b.now-max(h.restAt, h.probed) > probeAge {
+				h.probed = b.now
+				b.probes--
+				b.out.Probe(h.ID)
+			}
+		}
+	}
+}
+
+// learn takes what the end of a hop says of its host.
+func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
+	b.heard(h, r.Load)
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
@@ -350,7 +374,7 @@
 		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if b.from.Tells || w.value < b.free[i] {
+		if b.from.Tells || b.table.own().rest.n > 0 || w.value < b.free[i] {
 			b.free[i] = w.value
 		} else if w.n*workStep < 1 { // a day may begin in a jam
 			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
@@ -408,16 +432,18 @@
 	near := min(fullFrom+2*dear, admitMost) * float64(t.prof.Goal)
 	for _, barred := range []bool{false, true} {
 		most := b.patience(t.profile)
+		away := b.alone() && b.price.Held && t.home.rest.n == 0 && b.chance.draw() > b.table.evenPart(t.home)
 		for _, g := range t.home.order {
 			h, e, busy := b.draw(g, t, barred, min(fullFrom*float64(t.prof.Goal), most))
-			if h == nil || g != t.home && e > most {
+			if h == nil || g != t.home && e > most || g == t.home && away && !barred {
 				continue
 			}
 			pick, expected = h, e
 			if g != t.home {
 				most = e
 			} else if !barred && !h.closed(t.profile) || // on trial
-				e <= most && (h.crowd(h.out()+1) <= crowdFree || e <= near && busy < busyFull) {
+				e <= most && (h.crowd(h.out()+1) <= either(h.model.knee() > 0, crowdNear, crowdFree) ||
+					h.model.knee() == 0 && e <= near && busy < busyFull) {
 				return h, e
 			} else {
 				most = (1 - dear) * min(most, e)
@@ -461,7 +487,7 @@
 		lots = append(lots, lot{h, x, math.Log(luck.draw()) * h.slowness() / h.weight})
 	}
 	first, second := twoLargest(lots)
-	if second.host != nil && second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0) {
+	if second.host != nil && second.e < first.e && (first.e > slowFactor*mean.value || !whole && t.key == 0 && first.host.model.knee() == 0) {
 		first = second
 	}
 	if whole && first.e > near { // of many, all that take the best at once would bury it
@@ -543,6 +569,9 @@
 	b.taken++
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
+	if b.alone() && b.from.MayProbe {
+		b.freshen()
+	}
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
@@ -555,7 +584,7 @@
 	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
 		most = min(most, b.free[t.profile]) // a free slot at a usual host
 	}
-	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-h.paced < staleAge || !b.rare()) {
+	if h == nil || !b.guesses(h) && e > most && (h.own > 0 || b.now-max(h.paced, h.restAt) < staleAge || !b.rare()) {
 		return nil
 	}
 	return h
--- a/logic/state.go
+++ b/logic/state.go
@@ -35,6 +35,7 @@
 	shed    int       // rolled back on arrival within the last second
 	taken   float64   // transactions taken within the last second
 	rate    average   // the same, smoothed
+	probes  float64   // that may be sent beside answers
 
 	untold   []*host // hosts to tell of soon
 	relaying bool    // sums are due to be told
@@ -124,8 +125,8 @@
 
 func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
 	b.now = now
-	if h := b.table.byID[id]; h != nil {
-		h.report(l, now)
+	if h := b.table.readyHost(id); h != nil {
+		b.heard(h, l)
 	}
 }
 
@@ -264,6 +265,11 @@
 	return t.own()
 }
 
+// evenPart is how many hosts a zone has of what an even part would be.
+func (t *table) evenPart(g *group) float64 {
+	return float64(len(g.hosts)*len(t.groups)) / float64(max(1, len(t.ready)))
+}
+
 // rank is a host's place in the order of this gateway, the same for all where it keeps to no order of its own.
 func (t *table) rank(id HostID) float64 {
 	return either(t.ranks == 0, &chance{}, &chance{t.ranks, uint32(id)}).draw()
@@ -319,8 +325,9 @@
 // model is what like hosts show.
 type model struct {
 	places average // hops in work at a full host, where reports show it
-	held   average // hops at one that has cores free, where hosts report both
-	busy   average // and its utilisation
+	usual  average // hops there, where hosts report these and utilisation
+	held   average // those up to the usual ones, when cores are free
+	busy   average // and the utilisation then
 	pace   average // times the usual time of a profile
 }
 
@@ -373,6 +380,7 @@
 	lat     average       // time of an answer, waits included
 	busy    float64       // reported utilisation
 	busyAt  time.Duration // when that came, 0 for never
+	probed  time.Duration // when last probed beside answers
 	rest    float64       // hops of other gateways there, as it last reported
 	restAt  time.Duration // when that came
 	paced   time.Duration // when an answer or time-out last said something of its pace
@@ -389,12 +397,15 @@
 		h.busy, h.busyAt = l.Busy, now
 	}
 	if l.Held >= 0 {
+		rest := max(0, l.Held-float64(h.own))
+		h.rest += either(h.restAt > 0, restStep, 1) * (rest - h.rest)
 		h.restAt = now
-		h.rest += restStep * (max(0, l.Held-float64(h.own)) - h.rest)
 	}
-	if l.Busy > 0 && l.Busy < kneeBusy && l.Held >= 1 {
-		h.model.held.add(l.Held, workStep)
-		h.model.busy.add(l.Busy, workStep)
+	if m := h.model; l.Busy > 0 && l.Held >= 1 {
+		if m.usual.add(l.Held, workStep); l.Held <= m.usual.value {
+			m.held.add(l.Held, workStep)
+			m.busy.add(l.Busy, workStep)
+		}
 	}
 	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
 		p.add(max(1, l.Held-l.Waiting), paceStep)
@@ -432,7 +443,7 @@
 
 // out is all hops there, as far as known.
 func (h *host) out() float64 {
-	return float64(h.own+h.others) + either(h.group.rest.n > 0, h.rest, h.group.queue.value)
+	return float64(h.own+h.others) + either(h.restAt > 0, h.rest, h.group.rest.value+h.group.queue.value)
 }
 
 // hold counts what another gateway has out.
--- a/logic/types.go
+++ b/logic/types.go
@@ -193,6 +193,7 @@
 // Sources says what a gateway learns beside the outcomes of its own hops.
 type Sources struct {
 	Probes    bool          // hosts report their load when probed
+	MayProbe  bool          // hosts that report in answers may be probed besides
 	Tells     bool          // gateways tell each other what they have out
 	AskWithin time.Duration // how long it may go without asking for the list, 0 where changes come by themselves
 }
