--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"spanmux/logic"
@@ -56,7 +57,8 @@
 		Connection float64 `json:"connection"`
 	} `json:"prices"`
 	Report struct {
-		Via string `json:"via"`
+		Via    string   `json:"via"`
+		Fields []string `json:"fields"`
 	} `json:"report"`
 	RevenueBy string `json:"revenueBy"`
 	Specifics struct {
@@ -135,10 +137,12 @@
 			logic.HopRule{Most: o.Limits.MostHops, CallOff: o.Limits.Cancelling,
 				BackMost: back},
 			logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
+				Held: o.Report.Via == "answers" && slices.Contains(o.Report.Fields, "rif") &&
+					slices.Contains(o.Report.Fields, "busy"),
 				MayProbe:  o.Report.Via == "answers" && o.Limits.Probes,
 				AskWithin: askWithin},
 			logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
-				Held: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0})
+				Connections: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0})
 	}
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,9 @@
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
-	jamFirst    = 1.4                    // times the least time that answers take, crowds aside, from which some are rolled back
+	jamFirst    = 1.2                    // times the least time that answers take, crowds aside, from which some are rolled back
 	jamStep     = 0.05                   // smoothing of that: the last twenty answers
-	jamLast     = 2.0                    // all are
+	jamLast     = 1.6                    // all are
 	firstGuess  = 0.25                   // of the service goal: time of a profile never seen
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
@@ -54,10 +54,10 @@
 	crowdMost   = 2.2                    // hops a slot over which a host gets no more done and only slows down
 	nearFirst   = 0.5                    // of the knee, told in the mean: from there a group is near full now and then
 	nearLast    = 1.0                    // from there it always is
-	fullFirst   = 1.2                    // the same for a group that is full
-	fullLast    = 1.8                    // ditto
-	restStep    = 1.0                    // smoothing of what a host reports of others' hops: reports are noisy
-	crowdUntold = 1.35                   // the same where only the own ones are known, and the time is the least
+	fullFirst   = 0.9                    // the same for a group that is full
+	fullLast    = 1.5                    // ditto
+	crowdTold   = 1.35                   // the same where hosts tell what they hold, beyond that
+	crowdUntold = 2.7                    // the same where only the own ones are known, and the time is the least
 	busyCalm    = 0.6                    // reported utilisation with room for a tenant over its share
 	greedyFrom  = 1.5                    // of its portion that makes a tenant greedy: more than chance does
 	overSlack   = 1.2                    // of its portion that it has all the same, as the portion is a guess
@@ -111,7 +111,7 @@
 // giveBack closes connections that are no longer used, where they cost by themselves.
 func (b *Balancer) giveBack() {
 	for _, h := range b.table.ready {
-		if b.price.Held && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
+		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
 			h.used = 0
 			b.out.Release(h.ID)
 		}
@@ -121,7 +121,7 @@
 // reach is how many hosts of a group a draw is among. Where open connections cost, a gateway keeps to as many as
 // its traffic keeps busy, in an order of its own, so that all together spread evenly.
 func (b *Balancer) reach() int {
-	if !b.price.Held {
+	if !b.price.Connections {
 		return len(b.table.ready)
 	}
 	return max(reachLeast, int(math.Ceil(max(b.rate.value, b.taken)/useEach)))
@@ -130,6 +130,9 @@
 // alone tells whether this is one of many gateways that learn of each other only by what hosts report.
 func (b *Balancer) alone() bool { return !b.from.Tells && b.place.Gateways > fewGateways }
 
+// told tells whether it learns by reports what others have out at each host.
+func (b *Balancer) told() bool { return b.alone() && b.from.Held }
+
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
 
@@ -304,8 +307,9 @@
 // heard takes a report; to one of many it speaks for the zone.
 func (b *Balancer) heard(h *host, l Load) {
 	h.report(l, b.now)
-	if b.alone() && l.Held >= 0 {
-		h.group.rest.add(h.rest, restStep)
+	if b.told() && l.Held >= 0 {
+		h.tells(l, b.now)
+		h.group.rest = average{h.rest, 1}
 	} else if b.alone() && l.Waiting >= 0 {
 		h.group.queue.add(l.Waiting, paceStep)
 	}
@@ -384,12 +388,12 @@
 		if w.n-b.was[i] > priorPaces { // the time of one rolled back each time would drift away
 			w.value *= mean.value
 		}
-		if b.table.own().rest.n > 0 && w.n-b.was[i] < priorPaces { // or one jam is taken for the next, with all rolled back
+		if b.told() && w.n-b.was[i] < priorPaces { // or one jam is taken for the next, with all rolled back
 			w.value += forget * (b.free[i] - w.value)
 		}
 		b.was[i] = w.n
 		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
-		if usual := either(b.table.own().rest.n > 0, b.slow[i].value, w.value); b.from.Tells || usual < b.free[i] {
+		if usual := either(b.told(), b.slow[i].value, w.value); b.from.Tells || usual < b.free[i] {
 			b.free[i] = usual
 		} else if w.n*workStep < 1 { // a day may begin in a jam
 			b.free[i] = min(w.value, firstGuess*float64(b.profiles[i].Goal))
@@ -445,7 +449,7 @@
 
 // load is what the hosts of a group hold, of that at which their cores are all in use, as far as told; -1 where it is not.
 func (b *Balancer) load(g *group) float64 {
-	if !b.alone() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
+	if !b.told() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
 		return -1
 	}
 	return (g.rest.value + 1) / g.hosts[0].model.knee()
@@ -462,7 +466,7 @@
 	if l := b.load(g); l >= 0 {
 		return b.full(l, nearFirst, nearLast)
 	}
-	return b.alone() && b.price.Held && b.chance.draw() > b.table.evenPart(g)
+	return b.alone() && b.price.Connections && b.chance.draw() > b.table.evenPart(g)
 }
 
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
@@ -567,6 +571,9 @@
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
 	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.from.Tells, crowdMost, crowdUntold)
+	if b.told() {
+		crowd = crowdTold
+	}
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
@@ -612,7 +619,7 @@
 	b.taken++
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
-	if b.alone() && b.from.MayProbe {
+	if b.told() && b.from.MayProbe {
 		b.freshen()
 	}
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
@@ -674,7 +681,7 @@
 // longer than one was found dead its like is closed, and the hop opens a new one.
 func (b *Balancer) doubt(t *tx, h *host) (wait, idle time.Duration) {
 	wait, idle = t.stop-b.now, b.now-h.used
-	if !b.price.Held || h.used == 0 || idle < doubtFrom || h.own > 1 {
+	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
 		return wait, 0
 	}
 	h.doubts++
--- a/logic/state.go
+++ b/logic/state.go
@@ -52,7 +52,7 @@
 		work: make([]average, len(profiles)), slow: make([]average, len(profiles)), free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
-	if price.Held {
+	if price.Connections {
 		b.table.ranks = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(place.Me))) | 1
 	}
 	b.table.addGroups(place)
@@ -399,17 +399,6 @@
 	if l.Busy >= 0 {
 		h.busy, h.busyAt = l.Busy, now
 	}
-	if l.Held >= 0 {
-		rest := max(0, l.Held-float64(h.own))
-		h.rest += either(h.restAt > 0, restStep, 1) * (rest - h.rest)
-		h.restAt = now
-	}
-	if m := h.model; l.Busy > 0 && l.Held >= 1 {
-		if m.usual.add(l.Held, workStep); l.Held <= m.usual.value {
-			m.held.add(l.Held, workStep)
-			m.busy.add(l.Busy, workStep)
-		}
-	}
 	if p := &h.model.places; l.Waiting > 0 && l.Held > 0 {
 		p.add(max(1, l.Held-l.Waiting), paceStep)
 	} else if l.Waiting == 0 {
@@ -420,6 +409,17 @@
 // knee is the hops at which all cores of such a host are in use, 0 where that is not known.
 func (m *model) knee() float64 { return either(m.busy.n > 0, m.held.value/m.busy.value, 0) }
 
+// tells takes in what others have out at the host, and what its like hold as their cores fill.
+func (h *host) tells(l Load, now time.Duration) {
+	h.rest, h.restAt = max(0, l.Held-float64(h.own)), now
+	if m := h.model; l.Busy > 0 && l.Held >= 1 {
+		if m.usual.add(l.Held, workStep); l.Held <= m.usual.value {
+			m.held.add(l.Held, workStep)
+			m.busy.add(l.Busy, workStep)
+		}
+	}
+}
+
 func (h *host) learnPace(p float64) {
 	h.model.pace.add(p, workStep)
 	h.pace.add(p, paceStep)
--- a/logic/types.go
+++ b/logic/types.go
@@ -193,6 +193,7 @@
 // Sources says what a gateway learns beside the outcomes of its own hops.
 type Sources struct {
 	Probes    bool          // hosts report their load when probed
+	Held      bool          // answers say what a host holds and how busy it is
 	MayProbe  bool          // hosts that report in answers may be probed besides
 	Tells     bool          // gateways tell each other what they have out
 	AskWithin time.Duration // how long it may go without asking for the list, 0 where changes come by themselves
@@ -200,8 +201,8 @@
 
 // Price says what costs revenue beside the transaction's own.
 type Price struct {
-	Crossing float64 // a hop into another zone, as a share of the mean revenue of a transaction
-	ByWork   bool    // revenue is counted for each unit of work
-	Held     bool    // open connections cost by themselves
-	Misses   bool    // missed goals are counted by themselves; early rollbacks are not among them
+	Crossing    float64 // a hop into another zone, as a share of the mean revenue of a transaction
+	ByWork      bool    // revenue is counted for each unit of work
+	Connections bool    // open ones cost by themselves
+	Misses      bool    // missed goals are counted by themselves; early rollbacks are not among them
 }
