--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"syscall"
 
+	"spanmux/internal/given"
 	"spanmux/internal/protocol"
 	"spanmux/internal/routing"
 )
@@ -85,6 +86,9 @@
 	}
 	debug.SetGCPercent(heapGrowth)
 
+	if err := given.Check(t.Settings, len(t.Peers)); err != nil {
+		return err
+	}
 	desk, err := routing.Open(t.Settings)
 	if err != nil {
 		return err
@@ -128,6 +132,9 @@
 	if err == nil {
 		_, _, err = net.SplitHostPort(t.Discovery)
 	}
+	if err == nil {
+		err = given.Check(t.Settings, len(t.Peers))
+	}
 	if err != nil {
 		slog.Warn("what it is told is left out", "error", err)
 		return
--- a/cmd/spanmux/main_test.go
+++ b/cmd/spanmux/main_test.go
@@ -63,3 +63,14 @@
 	// second: /v1/endpoints
 	// ended, error: <nil>
 }
+
+// Settings that mix a pool of gateways with one for each client process start nothing, and the key is named.
+func Example_run_mixed() {
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "config.json")
+	os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","peers":["127.0.0.1:8"],`+
+		`"settings":{"balancers":30,"limits":{"secondCopies":false}}}`), 0o600)
+	fmt.Println(run(path, io.Discard))
+	// Output: settings: peers: gateways of client processes have no way to tell each other
+}
--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -34,6 +34,8 @@
 	Limits struct {
 		Cancelling     bool  `json:"cancelling"`
 		MayTell        bool  `json:"mayTell"`
+		SecondCopies   *bool `json:"secondCopies"`
+		Streams        int   `json:"streamsPerConn"`
 		MostHops       int   `json:"mostHops"`
 		Probes         bool  `json:"probes"`
 		RetryAfter     bool  `json:"retryAfter"`
@@ -50,7 +52,9 @@
 		WarmUp       int64   `json:"warmUp"`
 	} `json:"obligations"`
 	Blend struct {
-		Tail float64 `json:"tail"`
+		Tail         float64 `json:"tail"`
+		Availability float64 `json:"availability"`
+		FullAtNines  float64 `json:"fullAtNines"`
 	} `json:"blend"`
 	Prices struct {
 		CrossZone  float64 `json:"crossZone"`
--- a/internal/protocol/transaction.go
+++ b/internal/protocol/transaction.go
@@ -161,6 +161,10 @@
 			l.Waiting = n
 		case "util", "busy":
 			l.Busy = n
+		case "qps", "rate":
+			l.Rate = n
+		case "latency_ms", "lat_ms":
+			l.Took = n
 		}
 	}
 	return l, nil
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -45,7 +45,7 @@
 		s.Desk = desk
 		err = desk.Listen("127.0.0.1:0", 400, 2<<20)
 	}
-	if err == nil {
+	if err == nil && desk.opened.Gateways == 2 { // more are not told of each other
 		err = desk.Join("127.0.0.1:0", []string{"127.0.0.1:9", "127.0.0.1:8"}, "")
 	}
 	if err != nil {
@@ -575,3 +575,33 @@
 	// idle: closed
 	// busy: 200 "late answer", the last
 }
+
+// The same build serves both shapes; settings alone say which. Where connections cost, a gateway of a client process keeps
+// to few hosts, one at the least, and what it gives back is opened anew; one of a pool goes to all.
+func Example_few() {
+	own := strings.NewReplacer(`"balancers":2`, `"balancers":300`, `"mayTell":true`, `"mayTell":false,"secondCopies":false`,
+		`"dcs"`, `"prices":{"connection":0.05},"report":{"via":"answers","fields":["busy","rif"]},"dcs"`).Replace(settings)
+	for _, text := range []string{settings, own} {
+		s := playBy(text, "one", "two", "three")
+		for i := range 11 {
+			s.ask("read", fmt.Sprint(i))
+		}
+		hosts := map[string]bool{}
+		for _, line := range s.lines {
+			if host, _, ok := strings.Cut(line, ": GET"); ok {
+				hosts[host] = true
+			}
+		}
+		opened := s.pool.Opened.Load()
+		s.decide(func(time.Duration) {
+			for id := range s.list.addr { // in any order
+				s.Release(id)
+			}
+		})
+		s.ask("read", "again")
+		fmt.Println("hosts:", len(hosts), "opened:", opened, "after they were given back:", s.pool.Opened.Load()-opened)
+	}
+	// Output:
+	// hosts: 3 opened: 3 after they were given back: 1
+	// hosts: 1 opened: 1 after they were given back: 1
+}
