--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -130,6 +130,10 @@
 	if o.Limits.RetryAfter {
 		back = micros(o.Limits.MaxRetryAfter)
 	}
+	nines := 0.0
+	if o.Blend.Availability > 0 {
+		nines = o.Blend.FullAtNines
+	}
 	if o.Discovery == "subscribe" {
 		askWithin = micros(o.Obligations.AskWithin)
 	}
@@ -146,7 +150,7 @@
 				MayProbe:  o.Report.Via == "answers" && o.Limits.Probes,
 				AskWithin: askWithin},
 			logic.Price{Crossing: o.Prices.CrossZone, ByWork: o.RevenueBy == "work",
-				Connections: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0})
+				Connections: o.Prices.Connection > 0, Misses: o.Blend.Tail > 0, Nines: nines})
 	}
 	return in, nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -521,7 +521,9 @@
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
-	part, crowd := either(b.price.Misses, admitTail, admitMost), either(b.told(), crowdTold, crowdMost)
+	// Where unserved shares count by tenfold steps a rollback is as bad as a late answer: none before the goal.
+	part := either(b.price.Misses, admitTail, either(b.price.Nines > 0, 1, admitMost))
+	crowd := either(b.told(), crowdTold, crowdMost)
 	bears := func(i int) float64 { // times the work
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
--- a/logic/types.go
+++ b/logic/types.go
@@ -205,4 +205,5 @@
 	ByWork      bool    // revenue is counted for each unit of work
 	Connections bool    // open ones cost by themselves
 	Misses      bool    // missed goals are counted by themselves; early rollbacks are not among them
+	Nines       float64 // tenfold steps below all in which the unserved share counts, rollbacks too; 0 where it does not
 }
