--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -16,6 +17,7 @@
 	"strconv"
 	"syscall"
 
+	"spanmux/internal/control"
 	"spanmux/internal/given"
 	"spanmux/internal/protocol"
 	"spanmux/internal/routing"
@@ -30,6 +32,7 @@
 type told struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
+	Control   string `json:"control"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Limits    struct {
@@ -62,6 +65,7 @@
 	if err = json.Unmarshal(text, &t); err != nil {
 		err = fmt.Errorf("%s: %w", path, err)
 	}
+	t.Control = cmp.Or(t.Control, os.Getenv("BALANCER_CONTROL"))
 	return t, err
 }
 
@@ -93,7 +97,17 @@
 	if err != nil {
 		return err
 	}
-	if err := desk.Listen(t.Listen, t.Limits.Sockets, t.Limits.MemoryMB<<20); err != nil {
+	open, beside := func() {}, 0
+	if t.Control != "" {
+		door, err := control.Listen(t.Control, desk)
+		if err != nil { // nobody could drain it or read its figures: better seen now than when they try to
+			return fmt.Errorf("door for operators: %w", err)
+		}
+		defer door.Close()
+		open = func() { go door.Serve() }
+		beside = control.Most
+	}
+	if err := desk.Listen(t.Listen, t.Limits.Sockets, beside, t.Limits.MemoryMB<<20); err != nil {
 		return err
 	}
 	if t.PeerListen != "" {
@@ -109,6 +123,7 @@
 	}
 	desk.Start(seed, t.Discovery, known)
 	go desk.Serve()
+	open()
 	slog.Info("gateway listens", "at", t.Listen, "sockets", t.Limits.Sockets)
 
 	for s := <-signals; s == syscall.SIGUSR1 || s == syscall.SIGHUP; s = <-signals {
--- /dev/null
+++ b/internal/control/door_test.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// stub is a gateway that is told.
+type stub struct{ away atomic.Bool }
+
+func (s *stub) Ready() bool     { return !s.away.Load() }
+func (s *stub) Figures() []byte { return []byte(`{"outstanding":2}`) }
+func (s *stub) Drain(away bool) bool {
+	s.away.Store(away)
+	return true
+}
+
+func open() (*Door, func(call string) string) {
+	door, err := Listen("127.0.0.1:0", &stub{})
+	if err != nil {
+		panic(err)
+	}
+	go door.Serve()
+	return door, func(call string) string {
+		nc, err := net.Dial("tcp", door.Addr())
+		if err != nil {
+			return err.Error()
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(nc, call)
+		nc.(*net.TCPConn).CloseWrite()
+		answer, err := io.ReadAll(nc)
+		if err != nil {
+			return err.Error()
+		}
+		head, body, _ := strings.Cut(string(answer), "\r\n\r\n")
+		lines := strings.Split(head, "\r\n")
+		for _, l := range lines[1:] {
+			if strings.HasPrefix(l, "Allow") {
+				lines[0] += ", " + l
+			}
+		}
+		return strings.TrimPrefix(lines[0], "HTTP/1.1 ") + ": " + strings.TrimSpace(body)
+	}
+}
+
+// Each call gets one answer, sensible also where it is repeated, unknown, comes in another way or can't be read.
+func ExampleDoor() {
+	door, call := open()
+	defer door.Close()
+	for _, c := range []string{"GET /-/ready", "PUT /-/drain", "PUT /-/drain", "GET /-/ready", "PUT /-/resume", "PUT /-/resume",
+		"GET /-/ready?now", "GET /-/metrics", "POST /-/drain", "HEAD /-/ready", "GET /", "GET"} {
+		fmt.Println(c, "->", call(c+" HTTP/1.1\r\nHost: door\r\n\r\n"))
+	}
+	fmt.Println("with a body ->", call("PUT /-/drain HTTP/1.1\r\nHost: door\r\nContent-Length: 2\r\n\r\nhi"))
+	fmt.Println("torn ->", call("GET /-/ready HTTP/1.1\r\nHo"))
+	fmt.Println("long ->", call("GET /-/ready HTTP/1.1\r\nX: "+strings.Repeat("x", 5000)+"\r\n\r\n"))
+	fmt.Println("nothing ->", call("") == ": ")
+	fmt.Println("yes:", door.Calls.Load(), "other:", door.Wrong.Load())
+	// Output:
+	// GET /-/ready -> 200 OK: yes
+	// PUT /-/drain -> 200 OK: yes
+	// PUT /-/drain -> 200 OK: yes
+	// GET /-/ready -> 503 Service Unavailable: no
+	// PUT /-/resume -> 200 OK: yes
+	// PUT /-/resume -> 200 OK: yes
+	// GET /-/ready?now -> 200 OK: yes
+	// GET /-/metrics -> 200 OK: {"outstanding":2}
+	// POST /-/drain -> 405 Method Not Allowed, Allow: PUT: not this way
+	// HEAD /-/ready -> 405 Method Not Allowed, Allow: GET: not this way
+	// GET / -> 404 Not Found: not here
+	// GET -> 400 Bad Request: malformed first line
+	// with a body -> 200 OK: yes
+	// torn -> 400 Bad Request: ends within the message
+	// long -> 431 Request Header Fields Too Large: head too long
+	// nothing -> true
+	// yes: 8 other: 8
+}
+
+// Callers that say nothing, or half a call, keep no call out, however many they are.
+func ExampleDoor_silent() {
+	door, call := open()
+	defer door.Close()
+	for i := range 500 {
+		nc, err := net.Dial("tcp", door.Addr())
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, strings.Repeat("GET /-/ready HT", i%2))
+	}
+	began := time.Now()
+	fmt.Println(call("GET /-/ready HTTP/1.1\r\n\r\n"), time.Since(began) < time.Second, door.GaveWay.Load() > 400)
+	// Output: 200 OK: yes true true
+}
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 )
 
@@ -26,6 +27,18 @@
 
 func (w *Wrong) Error() string { return w.What }
 
+// WrongOf is what is wrong with a message that could not be read, nil where its sender has gone or said nothing.
+func WrongOf(err error) *Wrong {
+	var wrong *Wrong
+	switch {
+	case errors.As(err, &wrong):
+		return wrong
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Wrong{408, "message not whole in time"}
+	}
+	return nil
+}
+
 var (
 	errTorn     = &Wrong{400, "ends within the message"}
 	errHeadLong = &Wrong{431, "head too long"}
--- a/internal/protocol/transaction.go
+++ b/internal/protocol/transaction.go
@@ -46,6 +46,25 @@
 	return t, err
 }
 
+// ReadOwn reads a call to the gateway itself that may have a body of most bytes, which says nothing.
+func ReadOwn(r *bufio.Reader, most int, goOn func() error) (method, path string, err error) {
+	var h Head
+	if err := h.ReadCall(r); err != nil {
+		return "", "", err
+	}
+	target, _, _ := bytes.Cut(h.Target, []byte("?"))
+	method, path = string(h.Method), string(target)
+	expect := h.Expect
+	h.Skip(r)
+	if expect {
+		if err := goOn(); err != nil {
+			return "", "", err
+		}
+	}
+	_, err = h.ReadBody(r, most)
+	return method, path, err
+}
+
 // takeHead copies what the transaction needs of its head.
 func (t *Transaction) takeHead(h *Head) error {
 	path, _, _ := bytes.Cut(h.Target, []byte("?"))
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -80,6 +80,20 @@
 	return gather(head, ending(len(text), closing), []byte(text))
 }
 
+// Said is the one answer to an operator's call, after which the connection closes; allow names the method that it should have had.
+func Said(status int, allow string, text []byte) net.Buffers {
+	head := appendStatus(nil, status)
+	if allow != "" {
+		head = append(append(append(head, "Allow: "...), allow...), "\r\n"...)
+	}
+	if len(text) > 0 && text[0] == '{' {
+		head = append(head, "Content-Type: application/json\r\n"...)
+	} else {
+		head = append(head, "Content-Type: text/plain\r\n"...)
+	}
+	return gather(head, ending(len(text), true), text)
+}
+
 func appendStatus(to []byte, status int) []byte {
 	to = strconv.AppendInt(append(to, "HTTP/1.1 "...), int64(status), 10)
 	return append(append(append(to, ' '), http.StatusText(status)...), "\r\n"...)
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -13,6 +13,7 @@
 // connection ends.
 func (d *Desk) admit(t *tx) bool {
 	profile, known := d.opened.Profiles[t.said.Profile]
+	t.tally = d.tally(t.said.Profile)
 	wrong := ""
 	switch {
 	case !known:
@@ -22,16 +23,21 @@
 		wrong = "method or mark not of this profile"
 	case t.client.Over:
 		d.Book.TurnedAway.Add(1)
+		t.tally.rolledBack.Add(1)
 		t.client.End(protocol.Plain(503, "no room\n", 0, true))
 		return false
 	}
 	if wrong != "" {
 		d.Book.wrong(wrong, slog.String("profile", t.said.Profile))
+		if t.tally != nil {
+			t.tally.aborted.Add(1)
+		}
 		t.client.End(protocol.Plain(400, wrong+"\n", 0, true))
 		return false
 	}
 	if !d.take(t, d.arrival(t.said, profile, max(t.said.Budget-timeAside, time.Millisecond))) {
 		d.Book.wrong("id of a transaction that is open", slog.String("trace", t.said.Trace))
+		t.tally.aborted.Add(1)
 		t.client.End(protocol.Plain(409, "its id is that of another\n", 0, true))
 		return false
 	}
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -18,7 +19,9 @@
 	Taken, Committed, RolledBack, Abandoned   count
 	Left, Declined                            count
 	TurnedAway, Wrong, Unwritten, ClientBroke count
-	Hops                                      count
+	Hops, Written                             count // begun, and written whole
+	Open                                      count // taken and not ended
+	Applied, Rejected                         count // files taken and turned down
 	Ends                                      [logic.Moot + 1]count
 	Probes, Probed                            count
 	Lists, ListsLost                          count
@@ -29,6 +32,64 @@
 	says                                      bound // of the module
 }
 
+// tally counts the answers to the transactions of one profile, each as its last byte is written.
+type tally struct{ committed, rolledBack, aborted count }
+
+// of is where an answer counts: one that can't be written is aborted, as is all that is neither committed nor rolled back.
+func (y *tally) of(status int, written bool) *count {
+	switch {
+	case written && status == 200:
+		return &y.committed
+	case written && (status == 503 || status == 429):
+		return &y.rolledBack
+	}
+	return &y.aborted
+}
+
+// tally is that of a profile, nil where there is none of that name; the desk's lock guards the names. One that is
+// dropped keeps its own.
+func (d *Desk) tally(profile string) *tally {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tallies[profile]
+}
+
+// named sees to it that each profile has a tally; under the lock, once others may call.
+func (d *Desk) named() {
+	for name := range d.opened.Profiles { // in any order: each gets its own
+		if d.tallies[name] == nil {
+			d.tallies[name] = &tally{}
+		}
+	}
+}
+
+// Figures is what the operators' door shows, under the names that they have for it.
+func (d *Desk) Figures() []byte {
+	shown := struct {
+		Succeeded   map[string]int64 `json:"succeeded"`
+		Declined    map[string]int64 `json:"declined"`
+		Aborted     map[string]int64 `json:"aborted"`
+		Forwards    int64            `json:"forwards"`
+		Outstanding int64            `json:"outstanding"`
+		Discovered  int              `json:"discovered"`
+		Ejected     int              `json:"ejected"`
+		Applied     int64            `json:"sighup_applied"`
+		Rejected    int64            `json:"sighup_rejected"`
+	}{Succeeded: map[string]int64{}, Declined: map[string]int64{}, Aborted: map[string]int64{},
+		Forwards: d.Book.Written.Load(), Outstanding: d.Book.Open.Load(),
+		Applied: d.Book.Applied.Load(), Rejected: d.Book.Rejected.Load()}
+	d.mu.Lock()
+	for name, y := range d.tallies { // in any order: it is written in that of the names
+		shown.Succeeded[name] = y.committed.Load()
+		shown.Declined[name], shown.Aborted[name] = y.rolledBack.Load(), y.aborted.Load()
+	}
+	shown.Discovered, shown.Ejected = len(d.list.addr), d.opened.Avoided()
+	d.mu.Unlock()
+	text, err := json.Marshal(shown)
+	must.Hold(err == nil, "figures can be written")
+	return text
+}
+
 // wrong counts bad input; what it was is logged within a bound.
 func (b *Book) wrong(what string, more ...any) {
 	b.Wrong.Add(1)
@@ -58,7 +119,8 @@
 		{"tx_taken", &b.Taken}, {"tx_committed", &b.Committed}, {"tx_rolled_back", &b.RolledBack},
 		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_declined", &b.Declined},
 		{"tx_turned_away", &b.TurnedAway},
-		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops},
+		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written}, {"tx_open", &b.Open},
+		{"files_taken", &b.Applied}, {"files_turned_down", &b.Rejected},
 		{"hops_committed", &b.Ends[logic.Committed]}, {"hops_error", &b.Ends[logic.Error]},
 		{"hops_full", &b.Ends[logic.Full]}, {"hops_timed_out", &b.Ends[logic.TimedOut]},
 		{"hops_no_connection", &b.Ends[logic.NoConnection]}, {"hops_broken", &b.Ends[logic.Broken]},
--- /dev/null
+++ b/internal/routing/daily_test.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Clients that are sent away lose nothing: what comes is answered and told to close, what is idle closes soon, and the gateway
+// says no until it is told to take them again. One told to close in between closes.
+func ExampleDesk_Drain() {
+	s := play("one")
+	ready := func() {
+		c := s.dial()
+		defer c.Close()
+		io.WriteString(c, "GET /ready HTTP/1.1\r\n\r\n")
+		s.get(c, "ready")
+	}
+	idle, busy, later := s.dial(), s.dial(), s.dial()
+	for _, c := range []*line{idle, later} {
+		io.WriteString(c, text("read", "go", ""))
+		s.get(c, "before")
+	}
+	io.WriteString(busy, text("read", "slow", ""))
+	s.untilLine("one: GET /read?slow")
+	told := time.Now()
+	s.say("drain %t, again %t, takes clients %t", s.Drain(true), s.Drain(true), s.Ready())
+	ready()
+	s.ask("read", "new")
+	io.WriteString(later, text("read", "later", ""))
+	s.get(later, "on an open one")
+	s.get(idle, "idle")
+	s.say("within 2 s: %t", time.Since(told) < 2*time.Second)
+	s.get(busy, "busy")
+	s.say("resume %t, again %t, takes clients %t", s.Drain(false), s.Drain(false), s.Ready())
+	ready()
+	s.Close()
+	s.say("at the end: drain %t, resume %t, takes clients %t", s.Drain(true), s.Drain(false), s.Ready())
+	s.print()
+	// Output:
+	// one: GET /read?go ""
+	// before: 200 "answer to go"
+	// one: GET /read?go ""
+	// before: 200 "answer to go"
+	// one: GET /read?slow ""
+	// drain true, again true, takes clients false
+	// ready: 503 "not ready", the last
+	// one: GET /read?new ""
+	// read new: 200 "answer to new", the last
+	// one: GET /read?later ""
+	// on an open one: 200 "answer to later", the last
+	// idle: closed
+	// within 2 s: true
+	// busy: 200 "late answer", the last
+	// resume true, again true, takes clients true
+	// ready: 200 "ready"
+	// at the end: drain true, resume false, takes clients false
+}
+
+// Each answer to a transaction of a known profile counts once, by what its client got, hops by what was written whole, and
+// nothing stays open. A host whose breaker is open is avoided.
+func ExampleDesk_Figures() {
+	s := play("one", "down")
+	for _, do := range []string{"go", "go", "error", "decline", "full"} {
+		s.ask("pay", do)
+	}
+	s.ask("nothing", "go")
+	c := s.dial()
+	io.WriteString(c, strings.Replace(text("read", "go", ""), "GET", "POST", 1))
+	s.get(c, "wrong method")
+	c = s.dial()
+	io.WriteString(c, text("read", "wait", ""))
+	s.untilLine("one: GET /read?wait")
+	fmt.Println(string(s.Figures()))
+	c.Close()
+	s.untilLine("one: given up")
+	s.list.addr[7] = "127.0.0.1:1"
+	fmt.Println(string(s.Figures()))
+	// Output:
+	// {"succeeded":{"order":0,"pay":2,"read":0},"declined":{"order":0,"pay":1,"read":0},"aborted":{"order":0,"pay":2,"read":1},"forwards":6,"outstanding":1,"discovered":2,"ejected":0,"sighup_applied":0,"sighup_rejected":0}
+	// {"succeeded":{"order":0,"pay":2,"read":0},"declined":{"order":0,"pay":1,"read":0},"aborted":{"order":0,"pay":2,"read":1},"forwards":6,"outstanding":0,"discovered":3,"ejected":0,"sighup_applied":0,"sighup_rejected":0}
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -54,9 +54,9 @@
 		case t.answered || end != logic.Committed && end != logic.Moot:
 			d.large.Add(int64(large))
 		case end == logic.Committed:
-			d.answer(t, &d.Book.Committed, large, h.answer.ForClient)
+			d.answer(t, &d.Book.Committed, large, 200, h.answer.ForClient)
 		default:
-			d.answer(t, &d.Book.Declined, large, h.answer.ForClient)
+			d.answer(t, &d.Book.Declined, large, h.answer.Status, h.answer.ForClient)
 			d.then(func() {
 				d.Book.wrong("declined by its host", slog.Int("status", h.answer.Status), slog.String("trace", t.said.Trace))
 			})
@@ -67,20 +67,20 @@
 }
 
 func (d *Desk) RollBack(id logic.TxID, after time.Duration) {
-	d.answer(d.txs[id], &d.Book.RolledBack, 0, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.RolledBack, 0, 503, func(closing bool) net.Buffers {
 		return protocol.Plain(503, "rolled back\n", after, closing)
 	})
 }
 
 func (d *Desk) Abandon(id logic.TxID) {
-	d.answer(d.txs[id], &d.Book.Abandoned, 0, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.Abandoned, 0, 504, func(closing bool) net.Buffers {
 		return protocol.Plain(504, "abandoned\n", 0, closing)
 	})
 }
 
 // answer is a transaction's one final answer. It is written outside the lock, by whoever has it; a large one, by a goroutine of
 // its own: its client may read slowly, and the host's connection is in use again by then.
-func (d *Desk) answer(t *tx, count *count, large int, form func(closing bool) net.Buffers) {
+func (d *Desk) answer(t *tx, count *count, large, status int, form func(closing bool) net.Buffers) {
 	must.Hold(t != nil && !t.answered, "one final answer")
 	if t == nil || t.answered {
 		return
@@ -88,11 +88,14 @@
 	d.settled(t)
 	count.Add(1)
 	write := func() {
-		closing := t.said.Close || d.closing.Load()
-		if err := t.client.WriteBy(form(closing), t.taken.Add(t.said.Budget)); err != nil {
+		closing := t.said.Close || d.sendsAway()
+		err := t.client.WriteBy(form(closing), t.taken.Add(t.said.Budget))
+		if err != nil {
 			d.Book.Unwritten.Add(1)
 			closing = true
 		}
+		t.tally.of(status, err == nil).Add(1)
+		d.Book.Open.Add(-1)
 		d.Book.Microseconds.Add(time.Since(t.taken).Microseconds())
 		if closing {
 			t.client.Close()
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -27,20 +27,22 @@
 	closing atomic.Bool
 	ready   atomic.Bool
 
-	mu     sync.Mutex
-	began  time.Time
-	last   logic.TxID
-	txs    map[logic.TxID]*tx
-	open   map[string]bool // ids, as clients give them, of those that wait for their answer
-	timer  *time.Timer
-	after  []func() // what is to be done outside the lock
-	within bool     // the module is at work
+	mu      sync.Mutex
+	began   time.Time
+	last    logic.TxID
+	txs     map[logic.TxID]*tx
+	tallies map[string]*tally
+	open    map[string]bool // ids, as clients give them, of those that wait for their answer
+	timer   *time.Timer
+	after   []func() // what is to be done outside the lock
+	within  bool     // the module is at work
 }
 
 // tx is a transaction that has been taken. What is below the line is guarded by the desk's lock.
 type tx struct {
 	id      logic.TxID
 	said    *protocol.Transaction
+	tally   *tally
 	client  *transport.Client
 	taken   time.Time
 	settled chan struct{} // closed when its answer is written
@@ -53,7 +55,11 @@
 // Open makes a gateway's desk; settings are the module's.
 func Open(settings []byte) (*Desk, error) {
 	opened, err := given.Read(settings, askWithin)
-	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing()}
+	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing(),
+		tallies: map[string]*tally{}}
+	if err == nil {
+		d.named()
+	}
 	d.timer = time.AfterFunc(time.Hour, func() { d.decide(func(now time.Duration) { d.opened.Timer(now) }) })
 	d.timer.Stop()
 	return d, err
@@ -92,6 +98,7 @@
 		}
 		d.open[t.said.Trace] = true
 		d.Book.Taken.Add(1)
+		d.Book.Open.Add(1)
 		d.last++
 		t.id = d.last
 		d.txs[t.id] = t
@@ -113,6 +120,7 @@
 		if !t.answered {
 			d.settled(t)
 			d.Book.Left.Add(1)
+			d.Book.Open.Add(-1)
 			d.opened.Left(now, t.id)
 		}
 	})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -43,7 +43,7 @@
 	desk, err := Open([]byte(settings))
 	if err == nil {
 		s.Desk = desk
-		err = desk.Listen("127.0.0.1:0", 400, 2<<20)
+		err = desk.Listen("127.0.0.1:0", 400, 0, 2<<20)
 	}
 	if err == nil && desk.opened.Gateways == 2 { // more are not told of each other
 		err = desk.Join("127.0.0.1:0", []string{"127.0.0.1:9", "127.0.0.1:8"}, "")
@@ -571,7 +571,7 @@
 	// one: GET /read?slow ""
 	// one: GET /read?go ""
 	// read go: 200 "answer to go", the last
-	// ready: 503 "not ready"
+	// ready: 503 "not ready", the last
 	// idle: closed
 	// busy: 200 "late answer", the last
 }
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -13,12 +13,13 @@
 	"spanmux/logic"
 )
 
-// Listen opens the gateway to clients, with room for so many sockets and within so many bytes of memory.
-func (d *Desk) Listen(addr string, sockets int, memory int64) (err error) {
+// Listen opens the gateway to clients, with room for so many sockets, those that are used beside clients and hosts among
+// them, and within so many bytes of memory.
+func (d *Desk) Listen(addr string, sockets, beside int, memory int64) (err error) {
 	d.large.Store(cmp.Or(memory, usualMemory) / largePart)
 	sockets = cmp.Or(sockets, usualSockets)
 	crowd := max(1, sockets/crowdPart)
-	most := sockets - crowd - spareSockets
+	most := sockets - crowd - spareSockets - beside
 	room := transport.NewRoom(most)
 	d.pool = transport.NewPool(room, cmp.Or(d.opened.ConnectWithin, usualConnect), cmp.Or(d.opened.ConnIdle, usualIdle))
 	d.front, err = transport.Listen(addr, room, most-most/hostsPart, crowd)
@@ -68,6 +69,22 @@
 // Serve takes in clients until Close.
 func (d *Desk) Serve() { d.front.Serve(d.client) }
 
+// Ready tells whether this process takes clients.
+func (d *Desk) Ready() bool { return d.ready.Load() && !d.sendsAway() }
+
+// sendsAway tells whether answers are to say that their connection closes.
+func (d *Desk) sendsAway() bool { return d.closing.Load() || d.front.Draining() }
+
+// Drain sends clients away, or takes them again; once the gateway ends it takes none.
+func (d *Desk) Drain(away bool) bool {
+	if d.closing.Load() {
+		return away
+	}
+	d.front.Drain(away)
+	slog.Info("told by operators", "drain", away)
+	return true
+}
+
 // Close ends the gateway: connections go on coming for a while, then all that is taken is answered.
 func (d *Desk) Close() {
 	d.closing.Store(true)
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -34,7 +34,8 @@
 			h.answer, keep, err = protocol.ReadAnswer(r, &head, d.roomFor)
 			return keep, err
 		},
-		Done: func(how transport.How) { d.ended(h, how) },
+		Written: func() { d.Book.Written.Add(1) },
+		Done:    func(how transport.How) { d.ended(h, how) },
 	}
 	d.Book.Hops.Add(1)
 	d.start(host, h.exchange)
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"time"
 
 	"spanmux/internal/protocol"
@@ -24,7 +23,7 @@
 		case !c.Whole():
 			return
 		case said.Own != "":
-			if d.own(c, said) != nil || said.Close || c.Over {
+			if said.Close = said.Close || d.sendsAway(); d.own(c, said) != nil || said.Close || c.Over {
 				return
 			}
 			continue
@@ -45,12 +44,8 @@
 
 // answerWrong answers what can't be understood; the connection can't be read on.
 func (d *Desk) answerWrong(c *transport.Client, err error) {
-	var wrong *protocol.Wrong
-	switch {
-	case errors.As(err, &wrong):
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		wrong = &protocol.Wrong{Status: 408, What: "message not whole in time"}
-	default:
+	wrong := protocol.WrongOf(err)
+	if wrong == nil {
 		if !errors.Is(err, io.EOF) {
 			d.Book.ClientBroke.Add(1)
 		}
@@ -65,7 +60,7 @@
 	status, text := 404, "not here\n"
 	switch said.Own {
 	case protocol.ReadyTarget:
-		if status, text = 503, "not ready\n"; d.ready.Load() && !d.closing.Load() {
+		if status, text = 503, "not ready\n"; d.Ready() {
 			status, text = 200, "ready\n"
 		}
 	case "/counters":
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -23,6 +23,7 @@
 	idle     int // of these, those between messages
 	over     chan struct{}
 	closing  bool
+	away     bool // clients are sent away for a while
 	Accepted atomic.Int64
 	Crowded  atomic.Int64 // connections over the room
 	GaveWay  atomic.Int64 // those closed for others
@@ -207,7 +208,7 @@
 	case c.spoke:
 		until = c.rest()
 	}
-	c.nc.SetReadDeadline(c.front.atMost(until))
+	c.sayBy(until)
 	err := c.see.wait()
 	if err != nil && c.see.any() { // as its time was up
 		err = nil
@@ -247,23 +248,55 @@
 }
 
 // Settled says that the message has its answer; nothing is owed any more.
-func (c *Client) Settled() { c.nc.SetReadDeadline(c.rest()) }
+func (c *Client) Settled() { c.sayBy(c.rest()) }
 
 // rest makes the connection idle, and tells until when it may be.
 func (c *Client) rest() time.Time {
 	c.becomes(idle)
 	c.front.thin()
-	return c.front.atMost(time.Now().Add(idleMost))
+	return time.Now().Add(idleMost)
 }
 
-// atMost is a time until which a connection may stay open, unless the front closes.
-func (f *Front) atMost(until time.Time) time.Time {
+// sayBy is until when a connection may say nothing. It is set under the front's lock: one that became idle just as clients
+// were sent away would stay for all of its time.
+func (c *Client) sayBy(until time.Time) {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	switch {
+	case c.front.closing:
+		until = time.Now().Add(lastLook)
+	case c.front.away:
+		until = earlier(until, time.Now().Add(awayTo))
+	}
+	c.nc.SetReadDeadline(until)
+}
+
+// Drain sends clients away, or takes them again. The listener stays open, as some come for a while yet, and each answer is
+// to say that its connection closes; on those on which nothing is owed nothing will be said, so they close by themselves, one
+// after the other: all clients at once would come to the other gateways in one moment. One that is told so stays told.
+func (f *Front) Drain(away bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closing {
-		return time.Now().Add(lastLook)
+	if f.away == away {
+		return
 	}
-	return until
+	if f.away = away; !away {
+		return
+	}
+	n, now := time.Duration(0), time.Now()
+	for c := range f.open { // in any order: each gets a moment
+		if c.doing == idle && !c.shut {
+			c.nc.SetReadDeadline(now.Add(awayFrom + (awayTo-awayFrom)*n/time.Duration(f.idle)))
+			n++
+		}
+	}
+}
+
+// Draining tells whether clients are sent away.
+func (f *Front) Draining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.away
 }
 
 // Write answers the client.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -31,6 +31,7 @@
 	Message func() net.Buffers // made when it is written, so that it can say what time is left
 	Until   time.Time
 	Read    func(*bufio.Reader) (keep bool, err error)
+	Written func() // nil, or called once the last byte of the message is written
 	Done    func(How)
 
 	mu    sync.Mutex
@@ -233,6 +234,8 @@
 	_, err := message.WriteTo(c.nc)
 	if c.whole = err == nil; !c.whole {
 		c.nc.Close()
+	} else if x.Written != nil {
+		x.Written()
 	}
 	return true
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// Avoided counts hosts that drain, and those whose breaker for all profiles is open.
+func (b *Balancer) Avoided() (n int) {
+	for _, h := range b.table.byID { // in any order: it is a sum
+		if h.State == Draining || h.State == Ready && h.whole.open {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
 	b.turn(now)
 	if h := b.table.readyHost(id); h != nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -26,6 +26,8 @@
 	Probed(now time.Duration, host HostID, l Load)
 	// Told brings what another gateway has told.
 	Told(now time.Duration, from int, held []Held)
+	// Avoided tells how many hosts of the list get nothing new now; it changes nothing.
+	Avoided() int
 	// Timer reports that a timer set through Doer has fallen due.
 	Timer(now time.Duration)
 }
