--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -12,7 +12,7 @@
 	acceptAgain  = 5 * time.Millisecond    // after an accept that went wrong: descriptors come free that fast
 	silentMost   = 2 * time.Second         // for a new client to say something: it came in order to
 	idleMost     = 4 * time.Second         // for which a client that may come again is kept: it costs a socket
-	idleShare    = 3                       // one client in so many of the most there may be is kept idle, the latest ones
+	idleShare    = 5                       // one client in so many of the most there may be is kept idle, the latest ones
 	headWithin   = 2500 * time.Millisecond // for a message to come whole; a first one, from connecting: a word is owed in 3 s
 	crowdWithin  = 250 * time.Millisecond  // for a client over the room to send what it came for
 	speakWithin  = 20 * time.Millisecond   // before a new client that says nothing gives way: what it sends comes with it
