--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -8,77 +8,122 @@
 	"strconv"
 )
 
-// ReadBody reads a message's body, after Skip, of most bytes at most.
-func (h *Head) ReadBody(r *bufio.Reader, most int) ([]byte, error) {
-	switch h.framing {
-	case chunked:
-		return readChunks(r, most)
-	case untilClose:
-		body, err := io.ReadAll(io.LimitReader(r, int64(most)+1))
-		if err == nil && len(body) > most {
-			err = errBodyLong
+// Body reads a message's body piece by piece as it comes; io.EOF is its proper end, perhaps with the last piece.
+type Body struct {
+	r       *bufio.Reader
+	framing framing
+	left    int // bytes of it, or of the chunk
+	most    int // bytes that it may bring yet
+	chunk   bool
+	ended   bool
+}
+
+// Body is the message's body, after Skip, of most bytes at most.
+func (h *Head) Body(r *bufio.Reader, most int) *Body {
+	b := &Body{r: r, framing: h.framing, most: most}
+	if h.framing == byLength {
+		b.left, b.ended = h.length, h.length == 0
+	}
+	return b
+}
+
+func (b *Body) Read(p []byte) (int, error) {
+	if b.framing == chunked && b.left == 0 && !b.ended {
+		if err := b.next(); err != nil {
+			return 0, err
 		}
-		h.Close = true
-		return body, err
 	}
-	if h.length == 0 {
-		return nil, nil
+	if b.ended {
+		return 0, io.EOF
 	}
-	if h.length > most {
-		return nil, errBodyLong
+	if b.framing != untilClose {
+		p = p[:min(len(p), b.left)]
 	}
-	if h.length <= BodyMost {
-		body := make([]byte, h.length)
-		_, err := io.ReadFull(r, body)
-		return body, torn(err)
+	n, err := b.r.Read(p)
+	if b.most -= n; b.most < 0 {
+		return 0, errBodyLong
 	}
-	var body bytes.Buffer // grows as it comes: its length is only claimed
-	_, err := io.CopyN(&body, r, int64(h.length))
-	return body.Bytes(), torn(err)
-}
-
-func torn(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return errTorn
+	if b.framing == untilClose {
+		b.ended = errors.Is(err, io.EOF)
+		return n, err
 	}
-	return err
+	b.left -= n
+	if b.framing == byLength && b.left == 0 {
+		b.ended, err = true, io.EOF
+		return n, err
+	}
+	return n, torn(err)
 }
 
-func readChunks(r *bufio.Reader, most int) (body []byte, err error) {
-	for {
-		line, err := readLine(r)
-		if err != nil {
-			return nil, err
+// next goes on to the next chunk, or over the end: trailers are dropped.
+func (b *Body) next() error {
+	if b.chunk {
+		if line, err := readLine(b.r); err != nil || len(line) > 0 {
+			return errors.Join(errChunk, err)
 		}
-		digits, _, _ := bytes.Cut(line, []byte(";"))
-		n, err := strconv.ParseUint(string(bytes.Trim(digits, " \t")), 16, 31)
+	}
+	line, err := readLine(b.r)
+	if err != nil {
+		return err
+	}
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	n, err := strconv.ParseUint(string(bytes.Trim(digits, " \t")), 16, 31)
+	if err != nil {
+		return errChunk
+	}
+	if int(n) > b.most {
+		return errBodyLong
+	}
+	if b.left, b.chunk = int(n), true; n > 0 {
+		return nil
+	}
+	for spent := 0; ; {
+		line, err := readLine(b.r)
 		if err != nil {
-			return nil, errChunk
-		}
-		if n == 0 {
-			break
-		}
-		if len(body)+int(n) > most {
-			return nil, errBodyLong
+			return err
 		}
-		at := len(body)
-		body = append(body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, body[at:]); err != nil {
-			return nil, torn(err)
+		if len(line) == 0 {
+			b.ended = true
+			return nil
 		}
-		if line, err := readLine(r); err != nil || len(line) > 0 {
-			return nil, errors.Join(errChunk, err)
+		if spent += len(line); spent > b.r.Size() {
+			return errHeadLong
 		}
 	}
-	for spent := 0; ; { // trailers are dropped
-		line, err := readLine(r)
-		if err != nil || len(line) == 0 {
-			return body, err
-		}
-		if spent += len(line); spent > r.Size() {
-			return nil, errHeadLong
-		}
+}
+
+// ReadBody reads a message's body, after Skip, of most bytes at most.
+func (h *Head) ReadBody(r *bufio.Reader, most int) ([]byte, error) {
+	if h.framing == byLength && h.length > most {
+		return nil, errBodyLong
+	}
+	body, whole, err := h.Body(r, most+1).hold(most, h)
+	if err == nil && !whole {
+		err = errBodyLong
+	}
+	return body, err
+}
+
+// hold reads so many bytes, and tells whether that is all.
+func (b *Body) hold(most int, h *Head) (held []byte, whole bool, err error) {
+	if h.framing == byLength && h.length <= min(BodyMost, most) {
+		held = make([]byte, h.length)
+		_, err := io.ReadFull(b, held)
+		return held, true, torn(err)
+	}
+	var body bytes.Buffer // grows as it comes: its length is only claimed
+	n, err := io.CopyN(&body, b, int64(most)+1)
+	if errors.Is(err, io.EOF) {
+		err = nil
 	}
+	return body.Bytes(), n <= int64(most) && b.ended, err
+}
+
+func torn(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errTorn
+	}
+	return err
 }
 
 func readLine(r *bufio.Reader) ([]byte, error) {
@@ -94,3 +139,18 @@
 	}
 	return line[:len(line)-2], nil
 }
+
+// Chunk is a piece of a body that is written in chunks; last is the end after the last one.
+func Chunk(piece []byte, last bool) [][]byte {
+	var parts [][]byte
+	if len(piece) > 0 {
+		size := append(strconv.AppendInt(make([]byte, 0, 10), int64(len(piece)), 16), "\r\n"...)
+		parts = append(parts, size, piece, crlf)
+	}
+	if last {
+		parts = append(parts, lastChunk)
+	}
+	return parts
+}
+
+var crlf, lastChunk = []byte("\r\n"), []byte("0\r\n\r\n")
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	BodyMost      = 64 << 10  // bytes of a body that a client may send, by the protocol
-	answerMost    = 1 << 20   // bytes of one that a host may send: more than the protocol says are seen, if asked for room
+	BodyMost      = 64 << 10  // bytes of a body that is held whole, whoever sends it
+	heldMost      = 2 << 20   // bytes of a client's that is, if there is room: a slow client must not bind a host
+	LongMost      = 32 << 20  // bytes of any body, by the protocol
 	listMost      = 4 << 20   // bytes of a list: some ten thousand hosts
 	interimMost   = 16        // heads of an answer, the last one included: hosts that work long send one now and then
 	longestBudget = 3_600_000 // milliseconds: a client that says more has its units wrong
@@ -63,6 +64,7 @@
 	size           int
 	framing        framing
 	length         int
+	Old            bool // HTTP/1.0: it knows no chunks
 	Close          bool // the sender closes the connection after this message
 	Expect         bool // the sender waits to be told to go on with the body
 }
@@ -154,6 +156,7 @@
 			h.framing, h.length = byLength, 0
 		}
 		if h.Status >= 200 {
+			h.Close = h.Close || h.framing == untilClose
 			return nil
 		}
 		h.Skip(r)
@@ -216,12 +219,13 @@
 	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
 		return errVersion
 	}
-	h.framing, h.Close = without, string(version) == "HTTP/1.0"
+	h.framing, h.Old = without, string(version) == "HTTP/1.0"
+	h.Close = h.Old
 	lengths, coded := 0, false
 	for _, f := range h.Fields {
 		switch {
 		case equalFold(f.Name, "Content-Length"):
-			n, err := strconv.ParseUint(string(f.Value), 10, 31)
+			n, err := strconv.ParseUint(string(f.Value), 10, 62)
 			if err != nil || f.Value[0] == '+' || lengths > 0 && int(n) != h.length {
 				return errLength
 			}
--- a/internal/protocol/transaction.go
+++ b/internal/protocol/transaction.go
@@ -19,21 +19,29 @@
 	Tenant  string
 	Object  []byte
 	Budget  time.Duration
-	Body    []byte
+	Body    []byte // all of it, or what came first
+	Rest    *Body  // what is to come yet, nil where all is in hand
+	Bare    bool   // its answer has no body (HEAD)
+	Old     bool   // its client knows no chunks
 	Close   bool
 	bodied  bool   // its length was given, be it 0
+	length  int    // of all, -1 where that is not said
 	head    []byte // first line and fields as they go on
 }
 
-// ReadTransaction reads one from a client; goOn is called where the client waits for that.
-func ReadTransaction(r *bufio.Reader, h *Head, goOn func() error) (*Transaction, error) {
+// ReadTransaction reads one from a client; goOn is called where the client waits for that. A body over the usual size is held whole
+// where room says that there is room for so many bytes; else what is missing is its Rest.
+func ReadTransaction(r *bufio.Reader, h *Head, goOn func() error, room func(bytes int) bool) (*Transaction, error) {
 	if err := h.ReadCall(r); err != nil {
 		return nil, err
 	}
-	t := &Transaction{Close: h.Close}
+	t := &Transaction{Close: h.Close, Old: h.Old, Bare: string(h.Method) == "HEAD", length: -1}
 	err := t.takeHead(h)
 	expect := h.Expect
 	h.Skip(r)
+	if err == nil && h.framing == byLength && h.length > LongMost {
+		err = errBodyLong
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +50,31 @@
 			return nil, err
 		}
 	}
-	t.Body, err = h.ReadBody(r, BodyMost)
+	rest := h.Body(r, LongMost)
+	if h.framing == byLength {
+		if t.length = h.length; h.length > BodyMost && (h.length > heldMost || !room(h.length)) {
+			t.Rest = rest
+			return t, nil
+		}
+		t.Body, _, err = rest.hold(h.length, h)
+		if len(t.Body) < h.length && err == nil {
+			err = errTorn
+		}
+		return t, err
+	}
+	whole := false
+	if t.Body, whole, err = rest.hold(BodyMost, h); err != nil || whole {
+		return t, err
+	}
+	if room(heldMost) {
+		var more []byte
+		if more, whole, err = rest.hold(heldMost-len(t.Body), h); err == nil {
+			t.Body = append(t.Body, more...)
+		}
+	}
+	if err == nil && !whole {
+		t.Rest = rest
+	}
 	return t, err
 }
 
@@ -71,7 +103,7 @@
 	trace, traced := h.Get(traceField)
 	profile, named := h.Get(qosField)
 	if !traced && !named {
-		if string(h.Method) != "GET" {
+		if string(h.Method) != "GET" && !t.Bare {
 			return &Wrong{400, "no " + traceField}
 		}
 		t.Own = string(path)
@@ -95,18 +127,15 @@
 		return &Wrong{400, "missing or silly " + timeField}
 	case marked && len(mark) == 0:
 		return &Wrong{400, "empty " + keyField}
-	case string(h.Method) == "GET" && (h.framing == chunked || h.length > 0): // a host might take it for a further message
+	case (string(h.Method) == "GET" || t.Bare) && (h.framing == chunked || h.length > 0): // a host might take it for a further message
 		return &Wrong{400, "body where there is none"}
-	case string(h.Method) == "GET" || string(h.Method) == "HEAD":
+	case string(h.Method) == "GET" || t.Bare:
 		t.Effect = logic.Idempotent
 	case marked:
 		t.Effect = logic.Journalled
 	default:
 		t.Effect = logic.NonIdempotent
 	}
-	if string(h.Method) == "HEAD" {
-		return &Wrong{405, "HEAD is not passed on"}
-	}
 	_, sized := h.Get("Content-Length")
 	t.bodied = sized || h.framing == chunked
 	t.Trace, t.Profile, t.Budget = string(trace), string(profile), time.Duration(ms)*time.Millisecond
@@ -127,20 +156,22 @@
 	Load     logic.Load
 	LoadErr  error // what is wrong with a report that came
 	Body     []byte
-	Large    int // bytes for which room was asked, 0 for a body of the usual size
 	head     []byte
+	length   int // of the body where that is said, else -1
 }
 
-// ReadAnswer reads one; keep tells whether the connection can carry more. A body over the usual size is read where room
-// says that there is room for so many bytes.
-func ReadAnswer(r *bufio.Reader, h *Head, room func(bytes int) bool) (a *Answer, keep bool, err error) {
+var errNowhere = &Wrong{502, "too long to be held"}
+
+// ReadAnswer reads one, to a transaction whose answer has no body if bare; keep tells whether the connection can carry more. One over the
+// usual size that may go to the client is handed to stream with what has come of it, if there is such; its head is sound.
+func ReadAnswer(r *bufio.Reader, h *Head, bare bool, stream func(a *Answer, rest *Body) error) (a *Answer, keep bool, err error) {
 	if err := h.ReadAnswer(r); err != nil {
 		if err == io.EOF {
 			err = errTorn
 		}
 		return nil, false, err
 	}
-	a = &Answer{Status: h.Status, Load: logic.NoLoad}
+	a = &Answer{Status: h.Status, Load: logic.NoLoad, length: -1}
 	never, _ := h.Get(neverField)
 	a.NeverRan = (a.Status == 503 || a.Status == 504) && string(never) == "1"
 	if report, ok := h.Get(loadField); ok {
@@ -149,15 +180,35 @@
 	// What a host finds wrong with a transaction is for the client to know. 408 and 429 tell of the host's own trouble,
 	// and 429 would promise the client that nothing has run.
 	a.Declined = a.Status >= 400 && a.Status < 500 && a.Status != 408 && a.Status != 429
-	if a.Status == 200 || a.Declined {
+	passes := a.Status == 200 || a.Declined
+	if passes {
 		a.head = h.appendFields(appendStatus(make([]byte, 0, h.size+40), a.Status))
 	}
 	h.Skip(r)
-	if h.framing == byLength && h.length > BodyMost && h.length <= answerMost && room(h.length) {
-		a.Large = h.length
+	if h.framing == byLength {
+		a.length = h.length
+	}
+	if bare {
+		return a, !h.Close && h.framing != untilClose, nil
+	}
+	if h.framing == byLength && h.length > LongMost {
+		return a, false, errBodyLong
+	}
+	rest, whole := h.Body(r, LongMost), false
+	if h.framing != byLength || h.length <= BodyMost {
+		if a.Body, whole, err = rest.hold(BodyMost, h); err != nil {
+			return a, false, err
+		}
+	}
+	if !whole {
+		if !passes || stream == nil {
+			return a, false, errNowhere
+		}
+		err = stream(a, rest)
+	} else if a.length < 0 {
+		a.length = len(a.Body)
 	}
-	a.Body, err = h.ReadBody(r, max(BodyMost, a.Large))
-	return a, !h.Close, err
+	return a, !h.Close && err == nil, err
 }
 
 // Load reads a load report: figures set apart by commas, by the names of the sockets or of the settings. Others
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -47,13 +47,25 @@
 	tail := make([]byte, 0, 80)
 	tail = append(tail, timeField+": "...)
 	tail = strconv.AppendInt(tail, max(1, wait.Milliseconds()), 10)
-	if t.bodied {
-		tail = append(tail, "\r\nContent-Length: "...)
-		tail = strconv.AppendInt(tail, int64(len(t.Body)), 10)
+	switch {
+	case t.Rest != nil && t.length < 0:
+		return append(net.Buffers{t.head, append(tail, "\r\nTransfer-Encoding: chunked\r\n\r\n"...)}, Chunk(t.Body, false)...)
+	case t.Rest != nil:
+		tail = strconv.AppendInt(append(tail, "\r\nContent-Length: "...), int64(t.length), 10)
+	case t.bodied:
+		tail = strconv.AppendInt(append(tail, "\r\nContent-Length: "...), int64(len(t.Body)), 10)
 	}
 	return gather(t.head, append(tail, "\r\n\r\n"...), t.Body)
 }
 
+// Piece is a further piece of the body as it is written to a host.
+func (t *Transaction) Piece(piece []byte, last bool) net.Buffers {
+	if t.length < 0 {
+		return Chunk(piece, last)
+	}
+	return net.Buffers{piece}
+}
+
 // gather leaves out an empty body: a gathered write need not carry it.
 func gather(head, tail, body []byte) net.Buffers {
 	if len(body) == 0 {
@@ -99,9 +111,47 @@
 	return append(append(append(to, ' '), http.StatusText(status)...), "\r\n"...)
 }
 
-// ForClient is a host's answer as it is passed on.
+// ForClient is a host's answer as it is passed on. It says its length, whether or not its body comes with it.
 func (a *Answer) ForClient(closing bool) net.Buffers {
-	return gather(a.head, ending(len(a.Body), closing), a.Body)
+	if a.length < 0 { // of one without a body
+		return net.Buffers{a.head, closed(nil, closing)}
+	}
+	return gather(a.head, ending(a.length, closing), a.Body)
+}
+
+// Framing is how a streamed answer's end is told.
+type Framing int
+
+const (
+	Sized   Framing = iota // its length was said
+	Chunks                 // each piece says its length
+	ByClose                // the connection closes, as the client knows nothing else
+)
+
+// Begin is a streamed answer's head as it is passed on, with what has come of its body.
+func (a *Answer) Begin(old, closing bool) (net.Buffers, Framing) {
+	switch {
+	case a.length >= 0:
+		return gather(a.head, ending(a.length, closing), a.Body), Sized
+	case old:
+		return gather(a.head, closed(nil, true), a.Body), ByClose
+	}
+	return append(net.Buffers{a.head, closed([]byte("Transfer-Encoding: chunked\r\n"), closing)}, Chunk(a.Body, false)...), Chunks
+}
+
+// Piece is a further piece of a streamed answer.
+func (f Framing) Piece(piece []byte, last bool) net.Buffers {
+	if f == Chunks {
+		return Chunk(piece, last)
+	}
+	return net.Buffers{piece}
+}
+
+func closed(tail []byte, closing bool) []byte {
+	if closing {
+		tail = append(tail, "Connection: close\r\n"...)
+	}
+	return append(tail, "\r\n"...)
 }
 
 func ending(length int, closing bool) []byte {
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -20,6 +20,7 @@
 	Left, Declined                            count
 	TurnedAway, Wrong, Unwritten, ClientBroke count
 	Hops, Written                             count // begun, and written whole
+	Streamed, CutOff                          count // answers begun to be passed on in pieces; of these, those broken off
 	Open                                      count // taken and not ended
 	Applied, Rejected                         count // files taken and turned down
 	Ends                                      [logic.Moot + 1]count
@@ -111,7 +112,8 @@
 		{"tx_taken", &b.Taken}, {"tx_committed", &b.Committed}, {"tx_rolled_back", &b.RolledBack},
 		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_declined", &b.Declined},
 		{"tx_turned_away", &b.TurnedAway},
-		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written}, {"tx_open", &b.Open},
+		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written},
+		{"answers_streamed", &b.Streamed}, {"answers_cut_off", &b.CutOff}, {"tx_open", &b.Open},
 		{"files_taken", &b.Applied}, {"files_turned_down", &b.Rejected},
 		{"hops_committed", &b.Ends[logic.Committed]}, {"hops_error", &b.Ends[logic.Error]},
 		{"hops_full", &b.Ends[logic.Full]}, {"hops_timed_out", &b.Ends[logic.TimedOut]},
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -16,7 +16,10 @@
 	hurry        = 100 * time.Millisecond  // before the next call where one brought nothing: within the 200 ms of a watch
 	usualSockets = 1024                    // what a process may have open where nothing is said of it
 	usualMemory  = 64 << 20                // bytes that a process may use, ditto
-	largePart    = 4                       // one byte in so many of that is for answers over the usual size
+	largePart    = 8                       // one byte in so many of that is for bodies over the usual size that are held whole
+	pieceBytes   = 16 << 10                // of what is streamed, at a time: one a connection, far under the memory for all
+	upMost       = 64                      // hops of one transaction whose connections may come up: more than settings allow
+	hostSilent   = 10 * time.Second        // for the next piece of a streamed answer: one that gives none for so long is gone
 	usualIdle    = 4 * time.Second         // for which hosts keep a connection, ditto: a short one among servers
 	usualConnect = time.Second             // for a connection to come up, ditto: one lost packet's time
 	usualLongest = 3 * time.Second         // a hard limit, ditto: the longest of the protocol
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"time"
@@ -25,7 +27,7 @@
 		return logic.Committed
 	case h.answer.Declined:
 		return logic.Moot
-	case h.answer.NeverRan:
+	case h.answer.NeverRan || !h.whole: // a host begins with the last byte
 		return logic.Full
 	}
 	return logic.Error
@@ -35,16 +37,15 @@
 // declines would be declined by all: that is final too, and says nothing against the host. Counted as errors, what bad
 // clients send would open the breakers of good hosts.
 func (d *Desk) ended(h *hop, how transport.How) {
-	end, load, took := h.end(how), logic.NoLoad, time.Since(h.sent)
+	end, load := h.end(how), logic.NoLoad
 	if h.answer != nil {
 		load = h.answer.Load
 		if h.answer.LoadErr != nil {
 			d.Book.wrong(h.answer.LoadErr.Error())
 		}
 	}
-	large := 0
-	if h.answer != nil {
-		large = h.answer.Large
+	if h.streamed { // the module knows
+		return
 	}
 	d.decide(func(now time.Duration) {
 		t := h.t
@@ -52,64 +53,115 @@
 		d.Book.Ends[end].Add(1)
 		switch {
 		case t.answered || end != logic.Committed && end != logic.Moot:
-			d.large.Add(int64(large))
 		case end == logic.Committed:
-			d.answer(t, &d.Book.Committed, large, 200, h.answer.ForClient)
+			d.answer(t, &d.Book.Committed, 200, h.answer.ForClient)
 		default:
-			d.answer(t, &d.Book.Declined, large, h.answer.Status, h.answer.ForClient)
+			d.answer(t, &d.Book.Declined, h.answer.Status, h.answer.ForClient)
 			d.then(func() {
 				d.Book.wrong("declined by its host", slog.Int("status", h.answer.Status), slog.String("trace", t.said.Trace))
 			})
 		}
-		d.opened.HopEnded(now, t.id, h.number, logic.Result{End: end, Took: took, Load: load}, t.answered)
+		d.opened.HopEnded(now, t.id, h.number, logic.Result{End: end, Took: time.Since(h.sent), Load: load}, t.answered)
 		d.forget(t)
 	})
 }
 
 func (d *Desk) RollBack(id logic.TxID, after time.Duration) {
-	d.answer(d.txs[id], &d.Book.RolledBack, 0, 503, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.RolledBack, 503, func(closing bool) net.Buffers {
 		return protocol.Plain(503, "rolled back\n", after, closing)
 	})
 }
 
 func (d *Desk) Abandon(id logic.TxID) {
-	d.answer(d.txs[id], &d.Book.Abandoned, 0, 504, func(closing bool) net.Buffers {
+	d.answer(d.txs[id], &d.Book.Abandoned, 504, func(closing bool) net.Buffers {
 		return protocol.Plain(504, "abandoned\n", 0, closing)
 	})
 }
 
-// answer is a transaction's one final answer. It is written outside the lock, by whoever has it; a large one, by a goroutine of
-// its own: its client may read slowly, and the host's connection is in use again by then.
-func (d *Desk) answer(t *tx, count *count, large, status int, form func(closing bool) net.Buffers) {
+// answer is a transaction's one final answer. It is written outside the lock, by whoever has it.
+func (d *Desk) answer(t *tx, count *count, status int, form func(closing bool) net.Buffers) {
 	must.Hold(t != nil && !t.answered, "one final answer")
 	if t == nil || t.answered {
 		return
 	}
 	d.settled(t)
 	count.Add(1)
-	write := func() {
-		closing := t.said.Close || d.sendsAway()
-		err := t.client.WriteBy(form(closing), t.taken.Add(t.said.Budget))
-		if err != nil {
-			d.Book.Unwritten.Add(1)
-			closing = true
+	taken, heard := t.taken, t.said.Rest == nil || t.heard
+	d.then(func() {
+		closing := t.said.Close || !heard || d.sendsAway()
+		err := t.client.WriteBy(bare(t.said, form(closing)), taken.Add(t.said.Budget))
+		d.Book.Microseconds.Add(time.Since(taken).Microseconds())
+		d.written(t, status, err, closing, heard)
+	})
+}
+
+// written notes that an answer is written, or as much of it as could be.
+func (d *Desk) written(t *tx, status int, err error, closing, heard bool) {
+	if err != nil {
+		d.Book.Unwritten.Add(1)
+	}
+	t.tally.of(status, err == nil).Add(1)
+	d.Book.Open.Add(-1)
+	switch {
+	case err != nil:
+		t.client.Cut()
+	case !heard: // closed with input unread the connection would be reset, and the answer lost with it
+		t.client.Finish()
+	case closing:
+		t.client.Close()
+	default:
+		t.client.Settled()
+	}
+	close(t.settled)
+}
+
+var errNobodyWaits = errors.New("nobody waits for the answer")
+
+// stream passes on an answer over the usual size as it comes: its head is sound. From here on the transaction is its host's, and no
+// other hop can answer it; what breaks it off now its client can tell.
+func (d *Desk) stream(h *hop, a *protocol.Answer, rest *protocol.Body) error {
+	t, heard := h.t, false
+	d.decide(func(now time.Duration) {
+		if t.answered {
+			return
 		}
-		t.tally.of(status, err == nil).Add(1)
-		d.Book.Open.Add(-1)
-		d.Book.Microseconds.Add(time.Since(t.taken).Microseconds())
-		if closing {
-			t.client.Close()
-		} else {
-			t.client.Settled()
+		h.streamed, heard = true, t.said.Rest == nil || t.heard
+		end, count := logic.Committed, &d.Book.Committed
+		if a.Declined {
+			end, count = logic.Moot, &d.Book.Declined
 		}
-		close(t.settled)
-		d.large.Add(int64(large))
+		t.out--
+		d.settled(t)
+		count.Add(1)
+		d.Book.Streamed.Add(1)
+		d.Book.Ends[end].Add(1)
+		d.opened.Begun(now, t.id, h.number)
+		d.opened.HopEnded(now, t.id, h.number, logic.Result{End: end, Took: time.Since(h.sent), Load: a.Load}, true)
+	})
+	if !h.streamed {
+		return errNobodyWaits
 	}
-	d.then(func() {
-		if large > 0 {
-			go write()
-		} else {
-			write()
+	closing := t.said.Close || !heard || d.sendsAway()
+	parts, framing := a.Begin(t.said.Old, closing)
+	a.Body = nil
+	closing = closing || framing == protocol.ByClose
+	piece := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(piece)
+	err := t.client.Piece(parts)
+	for last := false; err == nil && !last; {
+		h.exchange.Within(hostSilent)
+		var n int
+		n, err = rest.Read(piece[:])
+		if last = errors.Is(err, io.EOF); err == nil || last {
+			err = nil
+			if parts := framing.Piece(piece[:n], last); n > 0 || last {
+				err = t.client.Piece(parts)
+			}
 		}
-	})
+	}
+	if err != nil {
+		d.Book.CutOff.Add(1)
+	}
+	d.written(t, a.Status, err, closing || d.sendsAway(), heard)
+	return err
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -54,7 +54,12 @@
 	taken   time.Time
 	settled chan struct{} // closed when its answer is written
 
-	answered bool // it has its final answer, or nobody waits for one
+	up       chan *transport.Rest // of a body that is to come yet: what writes it to a host
+	passed   bool                 // some of that is gone and can't be sent again
+	heard    bool                 // all of it has come
+	wait     time.Duration        // for the answer from then on
+	feeding  *hop                 // which has it
+	answered bool                 // it has its final answer, or nobody waits for one
 	hops     []*hop
 	out      int
 }
@@ -126,15 +131,16 @@
 }
 
 // left tells the module that a client has closed, if it still waits.
-func (d *Desk) left(t *tx) {
+func (d *Desk) left(t *tx) (waited bool) {
 	d.decide(func(now time.Duration) {
-		if !t.answered {
+		if waited = !t.answered; waited {
 			d.settled(t)
 			d.Book.Left.Add(1)
 			d.Book.Open.Add(-1)
 			d.opened.Left(now, t.id)
 		}
 	})
+	return waited
 }
 
 // forget drops what is over. A transaction that was given up stays while hops of it are out.
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"time"
 
 	"spanmux/internal/protocol"
@@ -17,6 +20,8 @@
 	sent     time.Time
 	exchange *transport.Exchange
 	answer   *protocol.Answer
+	whole    bool // all of it was written
+	streamed bool // its answer has begun to go on, and the module knows
 }
 
 // Hop sends the transaction. A host whose address is not known can't be reached.
@@ -26,21 +31,112 @@
 	t.hops = append(t.hops, h)
 	t.out++
 	until := h.sent.Add(wait)
+	if t.passed { // what has gone of its body is gone
+		d.then(func() { d.unsent(h) })
+		return
+	}
 	h.exchange = &transport.Exchange{
 		Message: func() net.Buffers { return t.said.ForHost(time.Until(until)) },
 		Until:   until,
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
-			h.answer, keep, err = protocol.ReadAnswer(r, &head, d.roomFor)
+			h.answer, keep, err = protocol.ReadAnswer(r, &head, t.said.Bare,
+				func(a *protocol.Answer, rest *protocol.Body) error { return d.stream(h, a, rest) })
 			return keep, err
 		},
-		Written: func() { d.Book.Written.Add(1) },
-		Done:    func(how transport.How) { d.ended(h, how) },
+		Written: func() {
+			h.whole = true
+			d.Book.Written.Add(1)
+		},
+		Done: func(how transport.How) { d.ended(h, how) },
+	}
+	if t.said.Rest != nil {
+		h.exchange.Rest = func(r *transport.Rest) bool { return d.feeds(h, r, wait) }
 	}
 	d.Book.Hops.Add(1)
 	d.start(host, h.exchange)
 }
 
+// unsent ends a hop that can't be sent; it never ran, and says nothing of its host.
+func (d *Desk) unsent(h *hop) {
+	d.decide(func(now time.Duration) {
+		h.t.out--
+		d.opened.HopEnded(now, h.t.id, h.number, logic.Result{End: logic.Moot, Load: logic.NoLoad}, h.t.answered)
+		d.forget(h.t)
+	})
+}
+
+// feeds has the rest of a body written to the host whose connection is up, unless some of it has gone to another.
+func (d *Desk) feeds(h *hop, r *transport.Rest, wait time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.t.passed || h.t.answered {
+		return false
+	}
+	select {
+	case h.t.up <- r:
+		h.t.wait, h.t.feeding = wait, h
+		return true
+	default: // it has room for all hops that settings allow within reason
+		return false
+	}
+}
+
+// feed passes on the rest of a body as it comes; it is false where the connection ends.
+func (d *Desk) feed(t *tx) bool {
+	piece := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(piece)
+	var to *transport.Rest
+	for {
+		if to == nil {
+			select {
+			case to = <-t.up:
+			case <-t.settled:
+				t.client.Drop()
+				return false
+			}
+			d.mu.Lock()
+			for len(t.up) > 0 { // the hop that is out is the last one
+				to = <-t.up
+			}
+			t.passed = true
+			d.mu.Unlock()
+		}
+		n, err := t.said.Rest.Read(piece[:])
+		if err != nil && !errors.Is(err, io.EOF) {
+			if d.left(t) {
+				d.answerWrong(t.client, err)
+			} else {
+				<-t.settled
+			}
+			return false
+		}
+		began, last := time.Now(), err != nil
+		if last {
+			t.client.Heard()
+			d.mu.Lock()
+			t.heard, t.taken, t.feeding.sent = true, began, began
+			d.mu.Unlock()
+			if to.Last(t.said.Piece(piece[:n], true), t.wait) != nil {
+				<-t.settled // nothing can be sent again
+			}
+			return true
+		}
+		if n > 0 && to.Write(t.said.Piece(piece[:n], false)) != nil {
+			to = nil
+		}
+		t.client.Waited(time.Since(began))
+		select {
+		case <-t.settled:
+			t.client.Drop()
+			return false
+		default:
+		}
+	}
+}
+
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
 // start begins an exchange with a host once the lock is left.
 func (d *Desk) start(host logic.HostID, x *transport.Exchange) {
 	to := d.list.target(host)
@@ -53,8 +149,8 @@
 	})
 }
 
-// roomFor takes room for an answer over the usual size, which is held whole like others: many at once, read slowly by their
-// clients, would take all memory.
+// roomFor takes room for a body over the usual size that is held whole like others: many at once, sent slowly by their clients,
+// would take all memory.
 func (d *Desk) roomFor(bytes int) bool {
 	if d.large.Add(-int64(bytes)) >= 0 {
 		return true
@@ -64,8 +160,9 @@
 }
 
 func (d *Desk) CallOff(id logic.TxID, number int) {
-	h := d.txs[id].hops[number]
-	d.then(h.exchange.GiveUp)
+	if h := d.txs[id].hops[number]; h.exchange != nil { // else it was never sent
+		d.then(h.exchange.GiveUp)
+	}
 }
 
 func (d *Desk) Release(host logic.HostID) {
@@ -82,7 +179,7 @@
 		Until:   time.Now().Add(probeWithin),
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
-			answer, keep, err := protocol.ReadAnswer(r, &head, func(int) bool { return false })
+			answer, keep, err := protocol.ReadAnswer(r, &head, false, nil)
 			if err == nil && answer.Status == 200 {
 				var wrong error
 				if load, wrong = protocol.Load(answer.Body); wrong != nil {
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -14,32 +14,49 @@
 // client takes in what comes on a client's connection, one transaction after the other.
 func (d *Desk) client(c *transport.Client) {
 	var head protocol.Head
-	for c.Await() == nil {
-		said, err := protocol.ReadTransaction(c.R, &head, func() error { return c.Write(net.Buffers{protocol.GoOn}) })
-		switch {
-		case err != nil:
-			d.answerWrong(c, err)
-			return
-		case !c.Whole():
-			return
-		case said.Own != "":
-			if said.Close = said.Close || d.sendsAway(); d.own(c, said) != nil || said.Close || c.Over {
-				return
+	for c.Await() == nil && d.next(c, &head) {
+	}
+}
+
+// next takes in one message; it is false where the connection ends.
+func (d *Desk) next(c *transport.Client, head *protocol.Head) bool {
+	held := 0
+	defer func() { d.large.Add(int64(held)) }()
+	said, err := protocol.ReadTransaction(c.R, head, func() error { return c.Write(net.Buffers{protocol.GoOn}) },
+		func(bytes int) bool {
+			if !d.roomFor(bytes) {
+				return false
 			}
-			continue
-		}
-		t := &tx{said: said, client: c, taken: time.Now(), settled: make(chan struct{})}
-		if !d.admit(t) {
-			return
-		}
-		// While hops are out the connection is watched, as its end is all that a client that leaves says. The
-		// answer is written by whoever has it.
-		if c.Watch() != nil {
-			d.left(t)
-			return
+			held += bytes
+			return true
+		})
+	switch {
+	case err != nil:
+		d.answerWrong(c, err)
+		return false
+	case !c.Whole():
+		return false
+	case said.Own != "":
+		said.Close = said.Close || d.sendsAway() || said.Rest != nil
+		return d.own(c, said) == nil && !said.Close && !c.Over
+	}
+	t := &tx{said: said, client: c, taken: time.Now(), settled: make(chan struct{})}
+	if said.Rest != nil {
+		t.up = make(chan *transport.Rest, upMost)
+	}
+	if !d.admit(t) || said.Rest != nil && !d.feed(t) {
+		return false
+	}
+	// While hops are out the connection is watched, as its end is all that a client that leaves says. The
+	// answer is written by whoever has it.
+	if c.Watch() != nil {
+		if !d.left(t) {
+			<-t.settled
 		}
-		<-t.settled // what came early is the next transaction
+		return false
 	}
+	<-t.settled // what came early is the next transaction
+	return true
 }
 
 // answerWrong answers what can't be understood; the connection can't be read on.
@@ -66,5 +83,13 @@
 	case "/counters":
 		status, text = 200, d.Counters()
 	}
-	return c.Write(protocol.Plain(status, text, 0, said.Close))
+	return c.Write(bare(said, protocol.Plain(status, text, 0, said.Close)))
+}
+
+// bare leaves out the body of an answer to one that asked for the head alone.
+func bare(said *protocol.Transaction, b net.Buffers) net.Buffers {
+	if said.Bare {
+		return b[:min(len(b), 2)]
+	}
+	return b
 }
--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -17,6 +17,9 @@
 	crowdWithin  = 250 * time.Millisecond  // for a client over the room to send what it came for
 	speakWithin  = 20 * time.Millisecond   // before a new client that says nothing gives way: what it sends comes with it
 	tornWithin   = 250 * time.Millisecond  // before a message that is not whole gives way: it comes in one piece as a rule
+	bodyPace     = 48 << 10                // bytes a second, of a body at the least: 64 kB are promised
+	pieceWithin  = 10 * time.Second        // for one piece of what is streamed: a side that takes none for so long is gone
+	bodyMost     = time.Hour               // for a body to come: its pace ends it far sooner
 	lastLook     = 50 * time.Millisecond   // for a message that has come to a connection about to close: some scheduling
 	awayFrom     = 300 * time.Millisecond  // after the word to send clients away: until then fronts send new ones
 	awayTo       = 1500 * time.Millisecond // by when the last idle one is closed: nobody may be held for 2 s after it
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -43,6 +43,11 @@
 	see   sight
 	came  time.Time
 
+	base  time.Time     // from when the message may take its time; its goroutine's, as are the next two
+	allow time.Duration // for its head
+	got   int           // bytes of it
+	last  atomic.Bool   // nothing but what is dropped comes any more
+
 	doing doing // guarded by the front, as is all below
 	since time.Time
 	spoke bool // a message of it has come whole
@@ -209,20 +214,39 @@
 			return err
 		}
 		c.R = readers.Get().(*bufio.Reader)
-		c.R.Reset(c.nc)
+		c.R.Reset((*paced)(c))
 	}
 	if !c.becomes(torn) { // closed just as something came: unread, the client sends it again elsewhere
 		return net.ErrClosed
 	}
+	c.base, c.allow, c.got = time.Now(), headWithin, 0
 	switch {
 	case c.Over:
-		return c.nc.SetReadDeadline(time.Now().Add(crowdWithin))
-	case c.spoke:
-		return c.nc.SetReadDeadline(time.Now().Add(headWithin))
+		c.allow = crowdWithin
+	case !c.spoke:
+		c.base = c.came
 	}
-	return c.nc.SetReadDeadline(c.came.Add(headWithin))
+	return c.nc.SetReadDeadline(c.base.Add(c.allow))
 }
 
+// paced reads a client's messages. A body may take its time, at the pace that is owed.
+type paced Client
+
+func (p *paced) Read(b []byte) (int, error) {
+	if p.got > 0 && !p.last.Load() {
+		p.nc.SetReadDeadline(p.base.Add(p.allow + time.Duration(p.got)*time.Second/bodyPace))
+	}
+	n, err := p.nc.Read(b)
+	p.got += n
+	return n, err
+}
+
+// Waited is the time for which a message was not read, as a host took it slowly; its client is not slow by that.
+func (c *Client) Waited(d time.Duration) { c.base = c.base.Add(d) }
+
+// Heard says that the message has come whole, where that was not so when it was taken.
+func (c *Client) Heard() { c.nc.SetReadDeadline(time.Time{}) }
+
 // quiet waits while nothing is owed.
 func (c *Client) quiet() error {
 	until := c.came.Add(silentMost)
@@ -365,6 +389,30 @@
 	}
 }
 
+// Piece writes a piece of a streamed answer; its client may take it slowly.
+func (c *Client) Piece(b net.Buffers) error {
+	c.nc.SetWriteDeadline(time.Now().Add(pieceWithin))
+	_, err := b.WriteTo(c.nc)
+	return err
+}
+
+// Cut ends the connection within an answer so that its client can tell, whatever the answer's form.
+func (c *Client) Cut() {
+	c.nc.(*net.TCPConn).SetLinger(0)
+	c.nc.Close()
+}
+
+// Finish says that the last answer is written while its message still comes: what comes is to be dropped for a moment.
+func (c *Client) Finish() {
+	c.last.Store(true)
+	c.nc.(*net.TCPConn).CloseWrite()
+	c.becomes(ended)
+	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
+}
+
+// Drop reads what still comes after Finish.
+func (c *Client) Drop() { io.CopyN(io.Discard, c.nc, lingerMost) }
+
 // Close ends the connection.
 func (c *Client) Close() { c.nc.Close() }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -33,10 +33,50 @@
 	Read    func(*bufio.Reader) (keep bool, err error)
 	Written func() // nil, or called once the last byte of the message is written
 	Done    func(How)
+	// Rest is nil, or takes what writes the rest where Message is only the beginning; it returns at once, and false where nothing
+	// is to be written any more. The time until which the exchange may take is given with the last piece.
+	Rest func(*Rest) bool
 
 	mu    sync.Mutex
 	given bool
 	stop  func()
+	nc    net.Conn // from when the message is written
+}
+
+// Within has what is read next of an answer that goes on come within a time.
+func (x *Exchange) Within(d time.Duration) { x.nc.SetReadDeadline(time.Now().Add(d)) }
+
+// Rest writes what is left of a message.
+type Rest struct {
+	c *hostConn
+	x *Exchange
+}
+
+// Write writes a further piece; nothing has run as long as the last one is missing.
+func (r *Rest) Write(piece net.Buffers) error {
+	r.c.nc.SetWriteDeadline(time.Now().Add(pieceWithin))
+	_, err := piece.WriteTo(r.c.nc)
+	if err != nil {
+		r.c.nc.Close()
+	}
+	return err
+}
+
+// Last writes the last piece; the answer is to come within a time from then on. It is written under the connection's lock: a host that
+// has all of it, and ends the connection at once, must not be taken for one that never had.
+func (r *Rest) Last(piece net.Buffers, within time.Duration) error {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	if r.c.out != r.x {
+		return net.ErrClosed
+	}
+	err := r.Write(piece)
+	if r.c.whole = err == nil; r.c.whole {
+		r.x.Until = time.Now().Add(within)
+		r.c.nc.SetReadDeadline(r.x.Until)
+		r.x.Written()
+	}
+	return err
 }
 
 // GiveUp ends the exchange by closing its connection.
@@ -242,7 +282,7 @@
 		return false
 	}
 	must.Hold(c.out == nil, "one exchange a connection")
-	c.out, c.whole = x, false
+	c.out, c.whole, x.nc = x, false, c.nc
 	c.nc.SetDeadline(x.Until)
 	if !x.stopBy(func() { c.nc.Close() }) {
 		c.nc.Close() // its goroutine ends the exchange
@@ -250,10 +290,19 @@
 	}
 	message := x.Message()
 	_, err := message.WriteTo(c.nc)
-	if c.whole = err == nil; !c.whole {
+	switch {
+	case err != nil:
 		c.nc.Close()
-	} else if x.Written != nil {
-		x.Written()
+	case x.Rest != nil:
+		x.Until = time.Now().Add(bodyMost)
+		c.nc.SetReadDeadline(x.Until)
+		if !x.Rest(&Rest{c, x}) {
+			c.nc.Close()
+		}
+	default:
+		if c.whole = true; x.Written != nil {
+			x.Written()
+		}
 	}
 	return true
 }
@@ -263,7 +312,7 @@
 	defer c.pool.drop(c)
 	for {
 		err := c.see.wait()
-		x, whole, late := c.await(err)
+		x, late := c.await(err)
 		if late {
 			continue
 		}
@@ -274,8 +323,9 @@
 		if err == nil {
 			keep, err = x.Read(c.r)
 		}
+		whole := c.wasWhole()
 		how := x.ended(err, whole)
-		if keep = keep && how == Answered && c.r.Buffered() == 0; keep {
+		if keep = keep && whole && how == Answered && c.r.Buffered() == 0; keep {
 			c.release()
 			c.pool.park(c)
 		}
@@ -289,15 +339,25 @@
 // await gives the exchange that is out. Where none is, the connection is dead from then on: the host has closed it,
 // it has been idle for too long, or something came that nobody has asked for. late tells that the time for which it
 // may stand idle was over just as a message was sent.
-func (c *hostConn) await(err error) (x *Exchange, whole, late bool) {
+func (c *hostConn) await(err error) (x *Exchange, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.out == nil {
 		c.dead = true
 	} else if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.out.Until) {
-		return nil, false, true
+		return nil, true
+	}
+	return c.out, false
+}
+
+// wasWhole tells whether the last byte of the message was written; if not, it never is. A host may answer, or break off, before that.
+func (c *hostConn) wasWhole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.whole {
+		c.out = nil
 	}
-	return c.out, c.whole, false
+	return c.whole
 }
 
 func (c *hostConn) release() {
