--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -13,7 +13,7 @@
 
 const (
 	BodyMost      = 64 << 10  // bytes of a body that is held whole, whoever sends it
-	heldMost      = 2 << 20    // bytes of a client's that is, if there is room: a slow client must not bind a host
+	heldMost      = 2 << 20   // bytes of a client's that is, if there is room: a slow client must not bind a host
 	LongMost      = 32 << 20  // bytes of any body, by the protocol
 	listMost      = 4 << 20   // bytes of a list: some ten thousand hosts
 	interimMost   = 16        // heads of an answer, the last one included: hosts that work long send one now and then
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -48,7 +48,7 @@
 
 // arrival is a transaction as the module takes it; under the lock, as tenants may change.
 func (d *Desk) arrival(said *protocol.Transaction, profile int, budget time.Duration) logic.Arrival {
-	a := logic.Arrival{Profile: profile, Tenant: -1, Budget: budget}
+	a := logic.Arrival{Profile: profile, Tenant: -1, Budget: budget, Coming: said.Rest != nil}
 	if d.opened.WarmKeys && len(said.Object) > 0 {
 		a.Key = crc32.ChecksumIEEE(said.Object) | 1
 	}
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -114,9 +114,10 @@
 		began, last := time.Now(), err != nil
 		if last {
 			t.client.Heard()
-			d.mu.Lock()
-			t.heard, t.taken, t.feeding.sent = true, began, began
-			d.mu.Unlock()
+			d.decide(func(now time.Duration) {
+				t.heard, t.taken, t.feeding.sent = true, began, began
+				d.opened.Whole(now, t.id, t.feeding.number)
+			})
 			if to.Last(t.said.Piece(piece[:n], true), t.wait) != nil {
 				<-t.settled // nothing can be sent again
 			}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,7 +78,7 @@
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	workFrom    = 4.0                    // hops worked on there that a draw does not mind: keys save more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
-	coldPart    = 0.8                    // of its share of a cold host's budget that a gateway spends; its successor the rest
+	coldPart    = 0.8                    // of a cold host's budget for it that it spends; a successor: the rest
 )
 
 // periodic is the work of each second, as often as the decision record changes weights.
@@ -550,7 +550,8 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.turn(now)
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget, most: b.hops.Most}
+	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget,
+		most: b.hops.Most, weighs: either(a.Coming, 0, 1)}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
@@ -601,7 +602,7 @@
 	if b.isCold(h) {
 		h.sent = append(h.sent, b.now)
 	}
-	if h.own++; h.own == 1 {
+	if h.own += t.weighs; h.own == 1 {
 		h.waiting = b.now
 	}
 	if all := h.own + h.others; b.guesses(h) && all >= askFrom && all%(askFrom/2) == 0 {
@@ -675,7 +676,7 @@
 	if k == nil {
 		return
 	}
-	k.over, k.end, t.out, k.host.own = true, r.End, t.out-1, k.host.own-1
+	k.over, k.end, t.out, k.host.own = true, r.End, t.out-1, k.host.own-t.weighs
 	switch {
 	case r.End == Committed:
 		k.host.used, k.host.proving = now, false
@@ -692,8 +693,5 @@
 	if k.at >= b.still { // else its time is that for which this gateway stood still, and its report as old
 		b.learn(k.host, k.load, t.profile, r)
 	}
-	if t.done || over {
-		k.then = func() { b.settle(t) }
-	}
-	k.then()
+	either(t.done || over, func() { b.settle(t) }, k.then)()
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -736,3 +736,35 @@
 	// 2800 tx 4 hop to 3 for 1000
 	// 2800 tx 4 rolled back, come back after 0
 }
+
+// A transaction whose body is still to come is no work for its host yet: others are not rolled back for it. From its last byte on it
+// counts, with all of its time.
+func Example_coming() {
+	s := start([]logic.Profile{read}, nil, host(1, "a", 1))
+	s.answered(1, 30, 0)
+	for id := 51; id <= 58; id++ {
+		s.Take(s.now, logic.TxID(id), logic.Arrival{Tenant: -1, Budget: 600 * ms, Coming: true})
+	}
+	s.wait(3000 * ms)
+	s.take(60, 0, -1)
+	s.end(60, 0, logic.Committed, 60*ms)
+	for id := 51; id <= 58; id++ {
+		s.Whole(s.now, logic.TxID(id), 0)
+	}
+	s.take(61, 0, -1)
+	s.wait(500 * ms)
+	s.end(51, 0, logic.Full, 500*ms)
+	s.print()
+	// Output:
+	// 2800 tx 51 hop to 1 for 600
+	// 2800 tx 52 hop to 1 for 600
+	// 2800 tx 53 hop to 1 for 600
+	// 2800 tx 54 hop to 1 for 600
+	// 2800 tx 55 hop to 1 for 600
+	// 2800 tx 56 hop to 1 for 600
+	// 2800 tx 57 hop to 1 for 600
+	// 2800 tx 58 hop to 1 for 600
+	// 5800 tx 60 hop to 1 for 1000
+	// 5800 tx 61 rolled back, come back after 60
+	// 6300 tx 51 rolled back, come back after 60
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -205,6 +205,22 @@
 	return t, &t.hops[i]
 }
 
+// Whole counts the hop as out. While the bodies of slow clients came, their hosts looked crowded, or silent, and others were rolled
+// back for it.
+func (b *Balancer) Whole(now time.Duration, id TxID, i int) {
+	b.turn(now)
+	t, k := b.hopOut(id, i)
+	if k == nil || t.weighs > 0 {
+		return
+	}
+	t.weighs, t.stop, k.at = 1, t.stop+now-k.at, now
+	if k.host.own++; k.host.own == 1 {
+		k.host.waiting = now
+	}
+	k.load = k.host.out()
+	b.unsaid(k.host)
+}
+
 func (b *Balancer) Begun(now time.Duration, id TxID, _ int) {
 	b.turn(now)
 	if t := b.txs[id]; t != nil {
@@ -654,6 +670,7 @@
 	key     uint32
 	home    *group // the zone it came in
 	most    int    // hops that it may have
+	weighs  int    // what a hop of it counts at its host: nothing while its body comes
 	over    bool   // beyond its tenant's share
 	done    bool   // it has its final answer, or its stream has begun
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -18,6 +18,9 @@
 	Take(now time.Duration, id TxID, a Arrival)
 	// HopEnded reports the one outcome of a hop; over says that the transaction has its final answer.
 	HopEnded(now time.Duration, id TxID, hop int, r Result, over bool)
+	// Whole reports that the last byte of a hop has gone whose transaction was taken while its body was coming: its times count
+	// from now, and only from now on it is work for its host.
+	Whole(now time.Duration, id TxID, hop int)
 	// Begun reports that a streamed answer has begun: from here on the transaction is its host's.
 	Begun(now time.Duration, id TxID, hop int)
 	// Left reports that nobody waits for a transaction any more.
@@ -141,6 +144,7 @@
 	Profile, Tenant int
 	Budget          time.Duration
 	Key             uint32 // of work that hosts remember, 0 where they do not
+	Coming          bool   // its body is to come yet: see Whole
 }
 
 type End int
