An ending process waits for its whole time, and forgets connections it closes

Read in the diff: where the listener is shared the wait ended 0.6 s early, and a closed idle connection could be taken for a hop before it noticed.

--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -152,6 +152,7 @@
 
 // Close ends the gateway: connections go on coming for a while, or to another process, then all that is taken is answered.
 func (d *Desk) Close() {
+	began := time.Now()
 	d.closing.Store(true)
 	if d.shared {
 		d.mu.Lock()
@@ -170,7 +171,7 @@
 	d.mu.Lock()
 	longest := cmp.Or(d.opened.Longest, usualLongest)
 	d.mu.Unlock()
-	for until := time.Now().Add(longest); d.front.Open() > 0; time.Sleep(endPoll) {
+	for until := began.Add(comeOn + longest); d.front.Open() > 0; time.Sleep(endPoll) {
 		if time.Now().After(until) {
 			slog.Warn("ends with clients unanswered", "clients", d.front.Open())
 			return
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -230,6 +230,7 @@
 			c.nc.Close()
 		}
 	}
+	p.free = map[Target][]*hostConn{} // one that is closed must not be taken before it notices
 }
 
 func (p *Pool) dial(to Target, x *Exchange) {
