Idle connections of an ending process close within 0.1 s where another takes over

On upgrade+slow 18 transactions were turned back: slow clients began them on connections kept for 0.35 to 0.6 s after SIGTERM, and SIGKILL found them half heard.

--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -24,8 +24,8 @@
 	lastLook     = 50 * time.Millisecond   // for a message that has come to a connection about to close: some scheduling
 	awayFrom     = 300 * time.Millisecond  // after the word to send clients away: until then fronts send new ones
 	awayTo       = 1500 * time.Millisecond // by when the last idle one is closed: nobody may be held for 2 s after it
-	handFrom     = 350 * time.Millisecond  // after the word to end, where another process takes what comes: most ask again by then
-	handTo       = 600 * time.Millisecond  // by when the last idle one is closed: what comes on it has all of its time
+	handFrom     = 10 * time.Millisecond   // after the word to end, where another process takes what comes at once
+	handTo       = 100 * time.Millisecond  // by when the last idle one is closed: a slow client may need seconds from its first byte on
 	lingerWithin = 500 * time.Millisecond  // for a client to read a last answer before its connection is closed
 	lingerMost   = 1 << 20                 // bytes of what it still sends meanwhile: far over any message
 	writeWithin  = 500 * time.Millisecond  // for an answer to be written: it fits the socket's buffer as a rule
