--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -163,6 +163,9 @@
 		if d.Book.CutOff.Add(1); framing == protocol.ByClose { // else it would look whole
 			t.client.Cut()
 		}
+		if d.Book.lines.allows() {
+			slog.Warn("answer broken off", "error", err, "trace", t.said.Trace, "after", time.Since(h.sent))
+		}
 	}
 	d.written(t, a.Status, err, closing || d.sendsAway(), heard)
 	return err
