--- a/cmd/spanmux/daily_test.go
+++ b/cmd/spanmux/daily_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -41,7 +43,7 @@
 			`"revenue":1}]}`)})
 	os.WriteFile(path, text, 0o600)
 	p = exec.Command(os.Args[0])
-	p.Env = append(os.Environ(), "SPANMUX_TEST_RUN=1", "BALANCER_CONFIG="+path, "BALANCER_ACCEPT_FD=3")
+	p.Env = append(os.Environ(), "SPANMUX_TEST_RUN=1", "BALANCER_CONFIG="+path, "BALANCER_ACCEPT_FD=3", "TMPDIR="+dir)
 	p.ExtraFiles = []*os.File{ln}
 	if err := p.Start(); err != nil {
 		panic(err)
@@ -309,3 +311,85 @@
 	// true true true true true true true true memory far under what passed: true
 	// ended: <nil>
 }
+
+// A long answer under way outlasts the process that began it: the one that takes over goes on with it, in either framing, and then with
+// its client. The first ends without waiting.
+func Example_handedOver() {
+	const long = 3 << 20
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "sized" {
+			w.Header().Set("Content-Length", fmt.Sprint(long))
+		}
+		if r.URL.RawQuery == "short" {
+			return
+		}
+		for sent := 0; sent < long; sent += 32 << 10 { // some four seconds
+			w.Write(bytes.Repeat([]byte{byte(sent >> 15)}, 32<<10))
+			http.NewResponseController(w).Flush()
+			time.Sleep(40 * time.Millisecond)
+		}
+	}))
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("index") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"h","endpoint":%q,"az":"a","state":"in_service"}]}`,
+			strings.TrimPrefix(host.URL, "http://"))
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	socket, _ := ln.(*net.TCPListener).File()
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	first, _ := gateway(socket, dir, 1, strings.TrimPrefix(discovery.URL, "http://"), free())
+	got := make(chan string)
+	for i, do := range []string{"sized", "chunks"} {
+		go func() {
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				panic(err)
+			}
+			defer nc.Close()
+			r, said := bufio.NewReader(nc), do+":"
+			for n, do := range []string{do, "short"} {
+				fmt.Fprintf(nc, "GET /read?%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d-%d\r\nX-Qos: read\r\nX-Expires-In-Ms: 1500\r\n\r\n", do, i, n)
+				answer, err := http.ReadResponse(r, nil)
+				if err != nil {
+					got <- said + " closed"
+					return
+				}
+				body, err := io.ReadAll(answer.Body)
+				whole := len(body) == long || n == 1
+				for at := 0; at < len(body) && whole; at++ {
+					whole = body[at] == byte(at>>15)
+				}
+				said += fmt.Sprint(" ", answer.StatusCode, " ", whole, " ", err)
+			}
+			got <- said
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	second, door := gateway(socket, dir, 2, strings.TrimPrefix(discovery.URL, "http://"), free())
+	told := time.Now()
+	first.Process.Signal(syscall.SIGTERM)
+	ended := first.Wait()
+	fmt.Println("first ended:", ended, "soon:", time.Since(told) < 2*time.Second)
+	said := []string{<-got, <-got}
+	slices.Sort(said)
+	fmt.Println(strings.Join(said, "\n"))
+	for end := time.Now().Add(time.Second); !strings.Contains(call("GET", door, "metrics"), `"outstanding":0`) && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	fmt.Println(call("GET", door, "metrics"))
+	second.Process.Signal(syscall.SIGTERM)
+	fmt.Println("second ended:", second.Wait())
+	// Output:
+	// first ended: <nil> soon: true
+	// chunks: 200 true <nil> 200 true <nil>
+	// sized: 200 true <nil> 200 true <nil>
+	// {"succeeded":{"read":2,"write":0},"declined":{"read":0,"write":0},"aborted":{"read":0,"write":0},"forwards":2,"outstanding":0,"discovered":1,"ejected":0,"sighup_applied":0,"sighup_rejected":0}
+	// second ended: <nil>
+}
--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"log/slog"
 	"math"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -136,6 +138,12 @@
 			slog.Warn("known list left out", "error", err)
 		}
 	}
+	if shared != "" {
+		heir := filepath.Join(os.TempDir(), fmt.Sprintf("spanmux-%08x", crc32.ChecksumIEEE([]byte(t.Name+t.Listen))))
+		if err := desk.Succeed(heir); err != nil {
+			slog.Warn("answers under way can't be handed over", "error", err)
+		}
+	}
 	desk.Start(seed, t.Discovery, known)
 	go desk.Serve()
 	open()
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// State is where the reading of a body stands between two pieces, for another process to go on with it.
+type State struct {
+	Framing, Left, Most int
+	Chunk               bool
+	Ahead               []byte // read and not looked at
+}
+
+func (b *Body) State() State {
+	ahead, _ := b.r.Peek(b.r.Buffered())
+	return State{int(b.framing), b.left, b.most, b.chunk, bytes.Clone(ahead)}
+}
+
+// Resume goes on with a body; r brings what is not read ahead. It is nil where the state makes no sense.
+func (s State) Resume(r io.Reader) *Body {
+	if f := framing(s.Framing); f < byLength || f > untilClose || s.Left < 0 || s.Most < 0 || s.Most > LongMost {
+		return nil
+	}
+	return &Body{r: bufio.NewReader(io.MultiReader(bytes.NewReader(s.Ahead), r)), framing: framing(s.Framing),
+		left: s.Left, most: s.Most, chunk: s.Chunk, ended: framing(s.Framing) == byLength && s.Left == 0}
+}
+
 // ReadBody reads a message's body, after Skip, of most bytes at most.
 func (h *Head) ReadBody(r *bufio.Reader, most int) ([]byte, error) {
 	if h.framing == byLength && h.length > most {
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -22,6 +22,7 @@
 	Hops, Written                             count // begun, and written whole
 	Streamed, CutOff                          count // answers begun to be passed on in pieces; of these, those broken off
 	Open                                      count // taken and not ended
+	Handed, Adopted                           count // streamed answers that went over to the next process, and came from the one before
 	Applied, Rejected                         count // files taken and turned down
 	Ends                                      [logic.Moot + 1]count
 	Probes, Probed                            count
@@ -113,7 +114,8 @@
 		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_declined", &b.Declined},
 		{"tx_turned_away", &b.TurnedAway},
 		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written},
-		{"answers_streamed", &b.Streamed}, {"answers_cut_off", &b.CutOff}, {"tx_open", &b.Open},
+		{"answers_streamed", &b.Streamed}, {"answers_cut_off", &b.CutOff},
+		{"answers_handed_over", &b.Handed}, {"answers_adopted", &b.Adopted}, {"tx_open", &b.Open},
 		{"files_taken", &b.Applied}, {"files_turned_down", &b.Rejected},
 		{"hops_committed", &b.Ends[logic.Committed]}, {"hops_error", &b.Ends[logic.Error]},
 		{"hops_full", &b.Ends[logic.Full]}, {"hops_timed_out", &b.Ends[logic.TimedOut]},
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"time"
@@ -145,20 +144,7 @@
 	parts, framing := a.Begin(t.said.Old, closing)
 	a.Body = nil
 	closing = closing || framing == protocol.ByClose
-	piece := pieces.Get().(*[pieceBytes]byte)
-	defer pieces.Put(piece)
-	err := t.client.Piece(parts)
-	for last := false; err == nil && !last; {
-		h.exchange.Within(hostSilent)
-		var n int
-		n, err = rest.Read(piece[:])
-		if last = errors.Is(err, io.EOF); err == nil || last {
-			err = nil
-			if parts := framing.Piece(piece[:n], last); n > 0 || last {
-				err = t.client.Piece(parts)
-			}
-		}
-	}
+	handed, err := d.pass(t.client, h.exchange.Host(), rest, parts, framing, closing, t.said.Rest == nil && !t.early, false)
 	if err != nil {
 		if d.Book.CutOff.Add(1); framing == protocol.ByClose { // else it would look whole
 			t.client.Cut()
@@ -167,6 +153,10 @@
 			slog.Warn("answer broken off", "error", err, "trace", t.said.Trace, "after", time.Since(h.sent))
 		}
 	}
+	if handed { // this process has no more to do with either connection
+		d.written(t, a.Status, nil, true, true)
+		return errHanded
+	}
 	d.written(t, a.Status, err, closing || d.sendsAway(), heard)
 	return err
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -27,11 +27,13 @@
 	closing atomic.Bool
 	ready   atomic.Bool
 	serving atomic.Bool
-	listed  chan struct{} // closed once a list is in hand
-	has     func()        // says that one is
-	shared  bool          // other processes may take clients off the same listener
-	alone   int           // sockets for clients and hosts
-	beside  int           // the same while another takes clients
+	listed  chan struct{}              // closed once a list is in hand
+	has     func()                     // says that one is
+	shared  bool                       // other processes may take clients off the same listener
+	alone   int                        // sockets for clients and hosts
+	beside  int                        // the same while another takes clients
+	streams map[*transport.Client]bool // those that may be handed over; guarded by the lock
+	heir    string                     // where answers are handed over to the next process
 	room    *transport.Room
 
 	mu      sync.Mutex
@@ -52,6 +54,7 @@
 	tally   *tally
 	client  *transport.Client
 	taken   time.Time
+	early   bool          // some of what its client sends next has been read already
 	settled chan struct{} // closed when its answer is written
 
 	up       chan *transport.Rest // of a body that is to come yet: what writes it to a host
@@ -68,7 +71,8 @@
 func Open(settings []byte) (*Desk, error) {
 	opened, err := given.Read(settings, askWithin)
 	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing(),
-		tallies: map[string]*tally{}, listed: make(chan struct{})}
+		tallies: map[string]*tally{}, listed: make(chan struct{}),
+		streams: map[*transport.Client]bool{}}
 	d.has = sync.OnceFunc(func() { close(d.listed) })
 	if err == nil {
 		d.named()
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -176,5 +176,8 @@
 			slog.Warn("ends with clients unanswered", "clients", d.front.Open())
 			return
 		}
+		if d.shared {
+			d.nudge()
+		}
 	}
 }
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -40,7 +40,8 @@
 		said.Close = said.Close || d.sendsAway() || said.Rest != nil
 		return d.own(c, said) == nil && !said.Close && !c.Over
 	}
-	t := &tx{said: said, client: c, taken: time.Now(), settled: make(chan struct{})}
+	t := &tx{said: said, client: c, taken: time.Now(), settled: make(chan struct{}),
+		early: c.R.Buffered() > 0}
 	if said.Rest != nil {
 		t.up = make(chan *transport.Rest, upMost)
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -115,18 +115,7 @@
 			time.Sleep(acceptAgain)
 			continue
 		}
-		f.Accepted.Add(1)
-		nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
-		c := &Client{front: f, nc: nc, see: sightOf(nc), came: time.Now(), doing: silent, since: time.Now()}
-		for c.Over = !f.enter(); c.Over && !f.crowd(); c.Over = !f.enter() {
-			time.Sleep(acceptAgain) // where even these are too many, the next wait to be accepted
-		}
-		f.mu.Lock()
-		f.open[c] = struct{}{}
-		if c.place = !c.Over; c.place {
-			f.in++
-		}
-		f.mu.Unlock()
+		c := f.client(nc)
 		go func() {
 			defer c.leave()
 			handle(c)
@@ -134,6 +123,23 @@
 	}
 }
 
+// client takes a connection in, with its place.
+func (f *Front) client(nc net.Conn) *Client {
+	f.Accepted.Add(1)
+	nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
+	c := &Client{front: f, nc: nc, see: sightOf(nc), came: time.Now(), doing: silent, since: time.Now()}
+	for c.Over = !f.enter(); c.Over && !f.crowd(); c.Over = !f.enter() {
+		time.Sleep(acceptAgain) // where even these are too many, the next wait to be accepted
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[c] = struct{}{}
+	if c.place = !c.Over; c.place {
+		f.in++
+	}
+	return c
+}
+
 // crowd takes a place over the room.
 func (f *Front) crowd() bool {
 	select {
@@ -393,13 +399,16 @@
 	}
 }
 
-// Piece writes a piece of a streamed answer; its client may take it slowly.
-func (c *Client) Piece(b net.Buffers) error {
+// Piece writes a piece of a streamed answer; its client may take it slowly. It gives back what could not be written.
+func (c *Client) Piece(b net.Buffers) (net.Buffers, error) {
 	c.nc.SetWriteDeadline(time.Now().Add(pieceWithin))
 	_, err := b.WriteTo(c.nc)
-	return err
+	return b, err
 }
 
+// Nudge ends the writing of a piece.
+func (c *Client) Nudge() { c.nc.SetWriteDeadline(time.Now()) }
+
 // Cut ends the connection within an answer so that its client can tell, whatever the answer's form.
 func (c *Client) Cut() {
 	c.nc.(*net.TCPConn).SetLinger(0)
