Answers to long bodies are handed over too; an ending process keeps its sockets

Cause of most: answers of transactions with streamed bodies stayed with the ending process until SIGKILL. The bound on sockets of an ending process, set at what it used, made slow clients give way to hops. Ruled out: adopted answers (none was cut but by its host).

--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -27,7 +27,7 @@
 	crowdPart    = 16                      // one socket in so many is for clients that are turned away
 	hostsPart    = 4                       // one in so many of the others is left to hosts, whatever clients take
 	alonePart    = 0.75                    // of the sockets for a process that may be replaced: the rest is its successor's start
-	besidePart   = 0.55                    // for one that succeeds another, and for that one as it ends, where it has no more
+	besidePart   = 0.55                    // for one that succeeds another: what that one has becomes fewer
 	besideFor    = 1500 * time.Millisecond // after the successor takes clients: the one before has hardly any by then
 	coldBeside   = 10 * time.Second        // after the start: by then the one before has ended, whatever it had taken
 	joinAgain    = 20 * time.Millisecond   // between tries for an address that is in use
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -120,6 +120,9 @@
 		case handed:
 			return
 		case err != nil:
+			if d.Book.lines.allows() {
+				slog.Warn("answer broken off", "error", err, "adopted", true)
+			}
 			if d.Book.CutOff.Add(1); n.Framing == protocol.ByClose {
 				c.Cut()
 			}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -144,7 +144,7 @@
 	parts, framing := a.Begin(t.said.Old, closing)
 	a.Body = nil
 	closing = closing || framing == protocol.ByClose
-	handed, err := d.pass(t.client, h.exchange.Host(), rest, parts, framing, closing, t.said.Rest == nil && !t.early, false)
+	handed, err := d.pass(t.client, h.exchange.Host(), rest, parts, framing, closing, heard && !t.early, false)
 	if err != nil {
 		if d.Book.CutOff.Add(1); framing == protocol.ByClose { // else it would look whole
 			t.client.Cut()
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -163,7 +163,6 @@
 		d.mu.Unlock()
 		d.front.HandOver()
 		d.pool.CloseIdle()
-		d.room.Limit(max(d.beside, d.room.Used())) // hops still need connections
 	} else {
 		time.Sleep(comeOn)
 		d.front.Shut()
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -115,7 +115,7 @@
 		if last {
 			t.client.Heard()
 			d.decide(func(now time.Duration) {
-				t.heard, t.taken, t.feeding.sent = true, began, began
+				t.heard, t.early, t.taken, t.feeding.sent = true, t.client.R.Buffered() > 0, began, began
 				d.opened.Whole(now, t.id, t.feeding.number)
 			})
 			if to.Last(t.said.Piece(piece[:n], true), t.wait) != nil {
