--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -53,7 +53,7 @@
 			}
 			continue
 		}
-		take(note, conns[0], conns[1])
+		go take(note, conns[0], conns[1]) // it may wait for room
 	}
 }
 
