--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -30,7 +30,5 @@
 	noteMost     = 128 << 10               // bytes that say what is handed over: what was read and not written is most of it
 	lingerWithin = 500 * time.Millisecond  // for a client to read a last answer before its connection is closed
 	lingerMost   = 1 << 20                 // bytes of what it still sends meanwhile: far over any message
-	finishWithin = 2 * time.Second         // for the rest of a message that is answered already: it gives way to others meanwhile
-	finishMost   = 32 << 20                // bytes of that: the longest body
 	writeWithin  = 500 * time.Millisecond  // for an answer to be written: it fits the socket's buffer as a rule
 )
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -415,17 +415,16 @@
 	c.nc.Close()
 }
 
-// Finish says that the last answer is written while its message still comes: what comes is to be dropped for a while. Some clients
-// read only when they have sent all, and reset before that they would never see their answer.
+// Finish says that the last answer is written while its message still comes: what comes is to be dropped for a moment.
 func (c *Client) Finish() {
 	c.last.Store(true)
 	c.nc.(*net.TCPConn).CloseWrite()
 	c.becomes(ended)
-	c.nc.SetReadDeadline(time.Now().Add(finishWithin))
+	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
 }
 
 // Drop reads what still comes after Finish.
-func (c *Client) Drop() { io.CopyN(io.Discard, c.nc, finishMost) }
+func (c *Client) Drop() { io.CopyN(io.Discard, c.nc, lingerMost) }
 
 // Close ends the connection.
 func (c *Client) Close() { c.nc.Close() }
