--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -21,6 +21,7 @@
 	"spanmux/internal/given"
 	"spanmux/internal/protocol"
 	"spanmux/internal/routing"
+	"spanmux/internal/transport"
 )
 
 const (
@@ -69,6 +70,14 @@
 	return t, err
 }
 
+// listen opens the address for clients, or takes the socket that the platform holds for all processes of the gateway.
+func listen(addr, descriptor string) (net.Listener, error) {
+	if descriptor != "" {
+		return transport.Inherited(descriptor)
+	}
+	return net.Listen("tcp", addr)
+}
+
 // run is the gateway from start to end; it prints its counters when asked to and at the end.
 func run(path string, out io.Writer) error {
 	signals := make(chan os.Signal, 4)
@@ -85,8 +94,11 @@
 	if t.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(t.Limits.Cores)))
 	}
-	if t.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(t.Limits.MemoryMB<<20)))
+	if part := memoryPart; t.Limits.MemoryMB > 0 {
+		if os.Getenv("BALANCER_ACCEPT_FD") != "" { // what this process may use it shares with the next
+			part /= 2
+		}
+		debug.SetMemoryLimit(int64(part * float64(t.Limits.MemoryMB<<20)))
 	}
 	debug.SetGCPercent(heapGrowth)
 
@@ -97,6 +109,11 @@
 	if err != nil {
 		return err
 	}
+	shared := os.Getenv("BALANCER_ACCEPT_FD")
+	ln, err := listen(t.Listen, shared)
+	if err != nil {
+		return err
+	}
 	open, beside := func() {}, 0
 	if t.Control != "" {
 		door, err := control.Listen(t.Control, desk)
@@ -107,9 +124,7 @@
 		open = func() { go door.Serve() }
 		beside = control.Most
 	}
-	if err := desk.Listen(t.Listen, t.Limits.Sockets, beside, t.Limits.MemoryMB<<20); err != nil {
-		return err
-	}
+	desk.Listen(ln, shared != "", t.Limits.Sockets, beside, t.Limits.MemoryMB<<20)
 	if t.PeerListen != "" {
 		if err := desk.Join(t.PeerListen, t.Peers, t.PeersAll); err != nil {
 			slog.Error("goes on without telling other gateways", "error", err) // each keeps all rules alone
--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -86,15 +86,17 @@
 	WarmKeys          bool
 	Profiles, Tenants map[string]int
 	Effects           []logic.Effect // by profile
+	names             []string       // ditto
+	marked            map[uint16]int // profiles as gateways name them to each other
 	Longest           time.Duration  // the longest hard limit
 	ConnIdle          time.Duration  // after which hosts close an idle connection
 	ConnectWithin     time.Duration  // a connection not up by then is given up
-	start             func(out logic.Doer, now time.Duration, seed uint64) logic.Gateway
+	start             func(out logic.Doer, now time.Duration, seed uint64, beside time.Duration) logic.Gateway
 }
 
-// Start starts the decisions.
-func (o *Opened) Start(out logic.Doer, now time.Duration, seed uint64) {
-	o.Gateway = o.start(out, now, seed)
+// Start starts the decisions; until beside the process that these replace may still be at work.
+func (o *Opened) Start(out logic.Doer, now time.Duration, seed uint64, beside time.Duration) {
+	o.Gateway = o.start(out, now, seed, beside)
 }
 
 // Read reads the settings in text. Where these say that changes of the list come by themselves, ask is how long a
@@ -104,7 +106,7 @@
 	if err := json.Unmarshal(text, &o); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	in := &Opened{Gateways: o.Balancers, Me: o.Me, WarmKeys: o.Specifics.WarmKeys, Profiles: map[string]int{},
+	in := &Opened{Gateways: o.Balancers, Me: o.Me, WarmKeys: o.Specifics.WarmKeys, Profiles: map[string]int{}, marked: map[uint16]int{},
 		Tenants: map[string]int{}, ConnIdle: micros(o.Limits.ConnIdle), ConnectWithin: micros(o.Limits.ConnectTimeout)}
 	profiles := make([]logic.Profile, len(o.Profiles))
 	for i, p := range o.Profiles {
@@ -117,6 +119,7 @@
 			return nil, fmt.Errorf("settings: profile %s: unknown group %q", p.Name, p.Group)
 		}
 		in.Profiles[p.Name] = i
+		in.names, in.marked[markOf(p.Name)] = append(in.names, p.Name), i
 		in.Effects, in.Longest = append(in.Effects, effect), max(in.Longest, micros(p.HardLimit))
 		profiles[i] = logic.Profile{Name: p.Name, Effect: effect, Reach: reach, Window: micros(p.Window),
 			Goal: micros(p.ServiceGoal), Revenue: p.Revenue, LateRevenue: p.LateRevenue}
@@ -137,11 +140,12 @@
 	if o.Discovery == "subscribe" {
 		askWithin = micros(o.Obligations.AskWithin)
 	}
-	in.start = func(out logic.Doer, now time.Duration, seed uint64) logic.Gateway {
+	in.start = func(out logic.Doer, now time.Duration, seed uint64, beside time.Duration) logic.Gateway {
 		return logic.New(out, now, seed,
 			logic.Place{Gateways: o.Balancers, Me: o.Me, Zone: o.MyZone, Zones: o.Zones}, profiles, tenants,
 			logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
-				Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)},
+				Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter),
+				Beside: beside},
 			logic.HopRule{Most: o.Limits.MostHops, CallOff: o.Limits.Cancelling,
 				BackMost: back},
 			logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -23,6 +23,12 @@
 	spareSockets = 16                      // beside those of clients and hosts: list, tells, files, those about to close
 	crowdPart    = 16                      // one socket in so many is for clients that are turned away
 	hostsPart    = 4                       // one in so many of the others is left to hosts, whatever clients take
+	alonePart    = 0.75                    // of the sockets for a process that may be replaced: the rest is its successor's start
+	besidePart   = 0.55                    // for one that succeeds another, and for that one as it ends, where it has no more
+	besideFor    = 1500 * time.Millisecond // after the successor takes clients: the one before has hardly any by then
+	coldBeside   = 10 * time.Second        // after the start: by then the one before has ended, whatever it had taken
+	joinAgain    = 20 * time.Millisecond   // between tries for an address that is in use
+	freshWithin  = 1500 * time.Millisecond // for the list to come before an older one will do: it is asked for within a second
 	comeOn       = 600 * time.Millisecond  // for which connections go on coming after the word to end: fronts lag
 	endPoll      = 10 * time.Millisecond   // between looks whether all clients have gone: far less than an answer takes
 	linesMost    = 20                      // log lines of one sort a second: enough to see what it is
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -26,6 +26,13 @@
 	large   atomic.Int64 // bytes left for answers over the usual size
 	closing atomic.Bool
 	ready   atomic.Bool
+	serving atomic.Bool
+	listed  chan struct{} // closed once a list is in hand
+	has     func()        // says that one is
+	shared  bool          // other processes may take clients off the same listener
+	alone   int           // sockets for clients and hosts
+	beside  int           // the same while another takes clients
+	room    *transport.Room
 
 	mu      sync.Mutex
 	began   time.Time
@@ -56,7 +63,8 @@
 func Open(settings []byte) (*Desk, error) {
 	opened, err := given.Read(settings, askWithin)
 	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing(),
-		tallies: map[string]*tally{}}
+		tallies: map[string]*tally{}, listed: make(chan struct{})}
+	d.has = sync.OnceFunc(func() { close(d.listed) })
 	if err == nil {
 		d.named()
 	}
--- a/internal/routing/tell.go
+++ b/internal/routing/tell.go
@@ -31,17 +31,18 @@
 	} else if !d.tells.all.IsValid() {
 		to = d.tells.others
 	}
-	for msg := range given.Messages(held) {
+	socket := d.tells.socket
+	for msg := range d.opened.Messages(held) {
 		must.Hold(len(msg) <= given.MostBytes, "a datagram within its bound")
 		for _, at := range to {
 			d.Book.Tells.Add(1)
-			d.then(func() { d.sendTell(at, msg) })
+			d.then(func() { d.sendTell(socket, at, msg) })
 		}
 	}
 }
 
-func (d *Desk) sendTell(at netip.AddrPort, msg []byte) {
-	if err := d.tells.socket.Send(at, msg); err != nil {
+func (d *Desk) sendTell(socket *transport.Datagrams, at netip.AddrPort, msg []byte) {
+	if err := socket.Send(at, msg); err != nil {
 		d.Book.Untold.Add(1)
 		if d.Book.lines.allows() {
 			slog.Warn("not told", "to", at, "error", err)
@@ -51,12 +52,14 @@
 
 // told takes what another gateway tells.
 func (d *Desk) told(addr netip.AddrPort, msg []byte) {
+	d.mu.Lock()
 	from, known := d.tells.number[addr]
 	var held []logic.Held
 	var err error
 	if known && len(msg) <= given.MostBytes {
-		held, err = given.Held(msg)
+		held, err = d.opened.Held(msg)
 	}
+	d.mu.Unlock()
 	if !known || err != nil || len(msg) > given.MostBytes {
 		d.Book.ToldWrong.Add(1)
 		if d.Book.lines.allows() {
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -150,6 +150,11 @@
 				}
 			}
 			d.ready.Store(true)
+			if kind == logic.Cached { // it may be old: hosts in it may be long gone
+				time.AfterFunc(freshWithin, d.has)
+			} else {
+				d.has()
+			}
 		})
 		d.opened.List(now, kind, hosts)
 	})
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,7 +26,8 @@
 	idle     int // of these, those between messages
 	over     chan struct{}
 	closing  bool
-	away     bool // clients are sent away for a while
+	away     bool      // clients are sent away
+	by       time.Time // when the last of these that says nothing is closed
 	Accepted atomic.Int64
 	Crowded  atomic.Int64 // connections over the room
 	GaveWay  atomic.Int64 // those closed for others
@@ -61,14 +65,34 @@
 
 // Listen opens a front for so many clients in the room; crowd is how many over that may be open, each to be turned away
 // with one answer.
-func Listen(addr string, room *Room, most, crowd int) (*Front, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
+func Listen(ln net.Listener, room *Room, most, crowd int) *Front {
 	f := &Front{ln: ln, room: room, most: most, open: map[*Client]struct{}{}, over: make(chan struct{}, crowd)}
 	room.GiveWay(f.closeIdle)
-	return f, nil
+	return f
+}
+
+// Inherited takes the listening socket that is open as a descriptor of that number. Closed here it goes on for the processes that
+// share it.
+func Inherited(descriptor string) (net.Listener, error) {
+	n, err := strconv.ParseUint(descriptor, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %q is no number", descriptor)
+	}
+	listens, err := syscall.GetsockoptInt(int(n), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil || listens == 0 { // one that does not listen would be taken, and never accept
+		return nil, fmt.Errorf("descriptor %d is no listening socket", n)
+	}
+	file := os.NewFile(uintptr(n), "clients")
+	defer file.Close()
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", n, err)
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		ln.Close()
+		return nil, fmt.Errorf("descriptor %d is no TCP socket", n)
+	}
+	return ln, nil
 }
 
 // Addr is where clients connect.
@@ -266,7 +290,7 @@
 	case c.front.closing:
 		until = time.Now().Add(lastLook)
 	case c.front.away:
-		until = earlier(until, time.Now().Add(awayTo))
+		until = earlier(until, later(c.front.by, time.Now().Add(crowdWithin)))
 	}
 	c.nc.SetReadDeadline(until)
 }
@@ -280,18 +304,38 @@
 	if f.away == away {
 		return
 	}
-	if f.away = away; !away {
-		return
+	if f.away = away; away {
+		f.fade(awayFrom, awayTo)
 	}
+}
+
+// fade closes what is idle between these times from now.
+func (f *Front) fade(from, to time.Duration) {
 	n, now := time.Duration(0), time.Now()
+	f.by = now.Add(to)
 	for c := range f.open { // in any order: each gets a moment
 		if c.doing == idle && !c.shut {
-			c.nc.SetReadDeadline(now.Add(awayFrom + (awayTo-awayFrom)*n/time.Duration(f.idle)))
+			c.nc.SetReadDeadline(now.Add(from + (to-from)*n/time.Duration(f.idle)))
 			n++
 		}
 	}
 }
 
+// HandOver leaves what is not accepted yet to the process that shares the listening socket, and goes on with the rest until it is
+// answered. Clients go on using what stays open, so that is kept for as long as what comes on it can still be answered.
+func (f *Front) HandOver() {
+	f.ln.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = true
+	f.fade(handFrom, handTo)
+	for c := range f.open { // in any order: each in time
+		if c.doing == silent {
+			c.nc.SetReadDeadline(f.by)
+		}
+	}
+}
+
 // Draining tells whether clients are sent away.
 func (f *Front) Draining() bool {
 	f.mu.Lock()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -181,6 +181,17 @@
 	}
 }
 
+// CloseIdle closes all on which nothing is out.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, free := range p.free { // in any order: all are closed
+		for _, c := range free {
+			c.nc.Close()
+		}
+	}
+}
+
 func (p *Pool) dial(to Target, x *Exchange) {
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(x.Until, time.Now().Add(p.within)))
 	defer cancel()
@@ -214,6 +225,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // send writes the message; it is false if the connection has died idle, or is of no more use, and nothing was written. What
 // has come by then, behind an answer that was whole, must not be read as the answer to this message.
 func (c *hostConn) send(x *Exchange) bool {
--- a/internal/transport/room.go
+++ b/internal/transport/room.go
@@ -14,6 +14,13 @@
 
 func NewRoom(most int) *Room { return &Room{most: most} }
 
+// Limit sets how many sockets there may be from now on; those over it are not closed, but none is added.
+func (r *Room) Limit(most int) {
+	r.mu.Lock()
+	r.most = most
+	r.mu.Unlock()
+}
+
 // GiveWay adds a way to close an idle socket.
 func (r *Room) GiveWay(closeOne func() bool) { r.giveWay = append(r.giveWay, closeOne) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,7 +78,7 @@
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	workFrom    = 4.0                    // hops worked on there that a draw does not mind: keys save more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
-	coldPart    = 0.8                    // of this gateway's share of a cold host's budget that it spends
+	coldPart    = 0.8                    // of its share of a cold host's budget that a gateway spends; its successor the rest
 )
 
 // periodic is the work of each second, as often as the decision record changes weights.
@@ -157,7 +157,8 @@
 	}
 	warm := b.cold.From + (1-b.cold.From)*float64(b.now-h.Started)/float64(b.cold.WarmUp)
 	through := max(1, h.model.places.value) / (b.work[0].value * max(h.model.pace.value, paceLeast))
-	share := coldPart * warm * b.cold.Multiple * through * float64(b.cold.TipAfter) / float64(b.place.Gateways)
+	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
+	share := part * warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
 	return h.sentSince(b.now-b.cold.TipAfter) < max(1, int(share)) &&
 		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
@@ -209,7 +210,6 @@
 	b.turn(now)
 	for _, k := range held {
 		switch h := b.table.readyHost(k.Host); {
-		case k.Profile >= len(b.profiles):
 		case k.Kind == Answer:
 			b.answered(from, k, h)
 		case k.Kind == Asks:
@@ -219,7 +219,7 @@
 			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
 		default:
 			if k.Kind == Sum && k.Took > 0 { // no time would make it look infinitely fast
-				h.pace.value, h.group.misses = float64(k.Took)/b.work[0].value, 0
+				h.pace.value, h.group.misses = float64(k.Took)/b.work[k.Profile].value, 0
 			}
 			h.hold(from, k.Hops, now)
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -183,6 +183,7 @@
 	WarmUp   time.Duration // by when it is warm, at the latest
 	Multiple float64       // of its present capacity, which over TipAfter pushes it over
 	TipAfter time.Duration
+	Beside   time.Duration // until when the process that this one replaces may spend of the budget too
 }
 
 // HopRule bounds what one transaction may use.
