--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -58,16 +58,16 @@
 }
 
 // read reads what the gateway is told.
-func read(path string) (t told, err error) {
-	text, err := os.ReadFile(path)
+func read(path string) (t told, text []byte, err error) {
+	text, err = os.ReadFile(path)
 	if err != nil {
-		return t, err
+		return t, nil, err
 	}
 	if err = json.Unmarshal(text, &t); err != nil {
 		err = fmt.Errorf("%s: %w", path, err)
 	}
 	t.Control = cmp.Or(t.Control, os.Getenv("BALANCER_CONTROL"))
-	return t, err
+	return t, text, err
 }
 
 // listen opens the address for clients, or takes the socket that the platform holds for all processes of the gateway.
@@ -82,7 +82,7 @@
 func run(path string, out io.Writer) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	t, err := read(path)
+	t, inForce, err := read(path)
 	if err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 
 	for s := <-signals; s == syscall.SIGUSR1 || s == syscall.SIGHUP; s = <-signals {
 		if s == syscall.SIGHUP {
-			reload(path, desk)
+			inForce = reload(path, inForce, desk)
 		} else {
 			fmt.Fprint(out, desk.Counters())
 		}
@@ -154,21 +154,28 @@
 	return nil
 }
 
-// reload reads the file again and takes over where discovery is; the rest holds from start to end. A file that is
-// missing, torn or without that address leaves what is in force: this gateway serves, and half a word is no reason to
-// stop.
-func reload(path string, desk *routing.Desk) {
-	t, err := read(path)
+// reload reads the file again and takes all that may change under way, or nothing: the file that is in force from then on is
+// given back. One that is missing, torn, incomplete or makes no sense leaves what is in force: this gateway serves, and half a word
+// is no reason to stop, nor to go on by half.
+func reload(path string, inForce []byte, desk *routing.Desk) []byte {
+	t, text, err := read(path)
 	if err == nil {
-		_, _, err = net.SplitHostPort(t.Discovery)
+		err = given.Complete(inForce, text, "known")
 	}
 	if err == nil {
-		err = given.Check(t.Settings, len(t.Peers))
+		err = given.Address("discovery", t.Discovery)
 	}
-	if err != nil {
-		slog.Warn("what it is told is left out", "error", err)
-		return
+	var to *given.Retuning
+	if err == nil {
+		to, err = desk.Retuned(t.Settings, len(t.Peers))
 	}
-	slog.Info("told anew", "discovery", t.Discovery)
-	desk.Rediscover(t.Discovery)
+	if err != nil {
+		desk.Book.Rejected.Add(1)
+		slog.Warn("file turned down, all stays as it was", "error", err)
+		return inForce
+	}
+	desk.Retune(to, t.Discovery)
+	desk.Book.Applied.Add(1)
+	slog.Info("file taken", "discovery", t.Discovery)
+	return text
 }
--- a/internal/given/held.go
+++ b/internal/given/held.go
@@ -33,8 +33,8 @@
 	msg := make([]byte, 0, MostBytes)
 	for _, k := range held {
 		mark := uint16(0)
-		if k.Kind != logic.Out && k.Profile < len(o.names) {
-			mark = markOf(o.names[k.Profile])
+		if k.Kind != logic.Out && k.Profile < len(o.known) {
+			mark = markOf(o.known[k.Profile].Name)
 		}
 		msg = binary.LittleEndian.AppendUint32(msg, uint32(k.Host))
 		msg = append(msg, byte(min(k.Hops, 255)), byte(k.Kind)<<4|byte(k.End))
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -12,13 +12,15 @@
 // admit hands a transaction to the module unless it makes no sense or there is no room; it is false where the
 // connection ends.
 func (d *Desk) admit(t *tx) bool {
-	profile, known := d.opened.Profiles[t.said.Profile]
-	t.tally = d.tally(t.said.Profile)
+	d.mu.Lock()
+	t.tally = d.tallies[t.said.Profile]
+	place, known := d.opened.Place(d.now(), t.said.Profile, t.said.Effect)
+	d.mu.Unlock()
 	wrong := ""
 	switch {
 	case !known:
 		wrong = "unknown profile"
-	case d.opened.Effects[profile] != t.said.Effect:
+	case place < 0:
 		// Taken by its method it might run twice; a profile's repeats are only known by their mark.
 		wrong = "method or mark not of this profile"
 	case t.client.Over:
@@ -35,7 +37,7 @@
 		t.client.End(protocol.Plain(400, wrong+"\n", 0, true))
 		return false
 	}
-	if !d.take(t, d.arrival(t.said, profile, max(t.said.Budget-timeAside, time.Millisecond))) {
+	if !d.take(t, place, max(t.said.Budget-timeAside, time.Millisecond)) {
 		d.Book.wrong("id of a transaction that is open", slog.String("trace", t.said.Trace))
 		t.tally.aborted.Add(1)
 		t.client.End(protocol.Plain(409, "its id is that of another\n", 0, true))
@@ -44,7 +46,7 @@
 	return true
 }
 
-// arrival is a transaction as the module takes it.
+// arrival is a transaction as the module takes it; under the lock, as tenants may change.
 func (d *Desk) arrival(said *protocol.Transaction, profile int, budget time.Duration) logic.Arrival {
 	a := logic.Arrival{Profile: profile, Tenant: -1, Budget: budget}
 	if d.opened.WarmKeys && len(said.Object) > 0 {
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -46,15 +46,7 @@
 	return &y.aborted
 }
 
-// tally is that of a profile, nil where there is none of that name; the desk's lock guards the names. One that is
-// dropped keeps its own.
-func (d *Desk) tally(profile string) *tally {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.tallies[profile]
-}
-
-// named sees to it that each profile has a tally; under the lock, once others may call.
+// named sees to it that each profile has a tally; one that is dropped keeps its own. Under the lock, once others may call.
 func (d *Desk) named() {
 	for name := range d.opened.Profiles { // in any order: each gets its own
 		if d.tallies[name] == nil {
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -78,7 +78,7 @@
 	d.mu.Lock()
 	must.Hold(!d.within, "the module is not called from within")
 	d.within = true
-	call(origin + time.Since(d.began))
+	call(d.now())
 	d.within = false
 	after := d.after
 	d.after = nil
@@ -88,6 +88,9 @@
 	}
 }
 
+// now is the time on the module's clock.
+func (d *Desk) now() time.Duration { return origin + time.Since(d.began) }
+
 func (d *Desk) then(do func()) { d.after = append(d.after, do) }
 
 // since turns the time of a host's start into the module's clock; 0 is long ago, as is all before that clock began.
@@ -99,7 +102,7 @@
 }
 
 // take hands a transaction to the module, unless its id is that of one that is still open: its effect would happen twice.
-func (d *Desk) take(t *tx, a logic.Arrival) (taken bool) {
+func (d *Desk) take(t *tx, profile int, budget time.Duration) (taken bool) {
 	d.decide(func(now time.Duration) {
 		if taken = !d.open[t.said.Trace]; !taken {
 			return
@@ -110,7 +113,7 @@
 		d.last++
 		t.id = d.last
 		d.txs[t.id] = t
-		d.opened.Take(now, t.id, a)
+		d.opened.Take(now, t.id, d.arrival(t.said, profile, budget))
 	})
 	return taken
 }
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -118,6 +118,22 @@
 	d.front.Serve(d.client)
 }
 
+// Retuned checks settings that are to follow those in force; it changes nothing.
+func (d *Desk) Retuned(settings []byte, peers int) (*given.Retuning, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.opened.Retuned(settings, peers)
+}
+
+// Retune takes settings into force, and discovery's address with them.
+func (d *Desk) Retune(to *given.Retuning, discovery string) {
+	d.decide(func(now time.Duration) {
+		d.opened.Retune(now, to)
+		d.named()
+		d.rediscover(discovery)
+	})
+}
+
 // Ready tells whether this process takes clients.
 func (d *Desk) Ready() bool { return d.ready.Load() && d.serving.Load() && !d.sendsAway() }
 
@@ -151,7 +167,10 @@
 		time.Sleep(comeOn)
 		d.front.Shut()
 	}
-	for until := time.Now().Add(cmp.Or(d.opened.Longest, usualLongest)); d.front.Open() > 0; time.Sleep(endPoll) {
+	d.mu.Lock()
+	longest := cmp.Or(d.opened.Longest, usualLongest)
+	d.mu.Unlock()
+	for until := time.Now().Add(longest); d.front.Open() > 0; time.Sleep(endPoll) {
 		if time.Now().After(until) {
 			slog.Warn("ends with clients unanswered", "clients", d.front.Open())
 			return
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -36,18 +36,16 @@
 	}
 }
 
-// Rediscover has the list asked for at another address from now on. The call that is out at the old one may wait for
+// rediscover has the list asked for at another address from now on. The call that is out at the old one may wait for
 // long yet, and what it brings, or its end, says nothing any more. Versions may not go on there: the first call is for
 // all.
-func (d *Desk) Rediscover(addr string) {
-	d.decide(func(time.Duration) {
-		if addr == d.list.line.Addr {
-			return
-		}
-		d.then(d.list.line.Close)
-		d.list.line, d.list.has, d.list.watching = &transport.Line{Addr: addr}, false, false
-		d.AskList()
-	})
+func (d *Desk) rediscover(addr string) {
+	if addr == d.list.line.Addr {
+		return
+	}
+	d.then(d.list.line.Close)
+	d.list.line, d.list.has, d.list.watching = &transport.Line{Addr: addr}, false, false
+	d.AskList()
 }
 
 // watchFor is how long a watch's call may wait. Until that is over one that has fallen silent looks like one with nothing to
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -522,7 +522,7 @@
 	}
 	most := bears(profile)
 	for i := range b.profiles {
-		if earns(i) > yieldFrom*earns(profile) {
+		if !b.profiles[i].Dropped && earns(i) > yieldFrom*earns(profile) {
 			most = min(most, yieldPart*bears(i))
 		}
 	}
@@ -550,7 +550,7 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.turn(now)
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget}
+	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget, most: b.hops.Most}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
@@ -641,7 +641,7 @@
 // again sends a further hop where a host can still answer in time.
 func (b *Balancer) again(t *tx) bool {
 	h, e := b.choose(t)
-	if h == nil || len(t.hops) >= b.hops.Most || e >= float64(t.stop-b.now) {
+	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) {
 		return false
 	}
 	b.send(t, h)
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,7 +63,7 @@
 	}
 	b.table.addGroups(place)
 	for _, t := range tenants {
-		b.admit.tenants = append(b.admit.tenants, tenant{quota: t.Quota})
+		b.admit.tenants = append(b.admit.tenants, tenant{name: t.Name, quota: t.Quota})
 	}
 	for i, p := range profiles {
 		b.work[i].value = firstGuess * float64(p.Goal)
@@ -76,6 +76,43 @@
 	return b
 }
 
+// Retune takes other rules. What is open holds the profile and the number of hops with which it was taken; a profile that is new
+// begins with what was learnt of the last one of its name.
+func (b *Balancer) Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, hops HopRule,
+	from Sources, price Price) {
+	b.turn(now)
+	for i := len(b.profiles); i < len(profiles); i++ {
+		work := average{value: firstGuess * float64(profiles[i].Goal)}
+		slow, free, like := average{}, work.value, -1
+		for k := range b.profiles {
+			if b.profiles[k].Name == profiles[i].Name {
+				work, slow, free, like = b.work[k], b.slow[k], b.free[k], k
+			}
+		}
+		b.work, b.slow, b.free = append(b.work, work), append(b.slow, slow), append(b.free, free)
+		b.was = append(b.was, work.n)
+		for _, h := range b.table.byID { // in any order: each gets its own
+			k := breaker{}
+			if like >= 0 {
+				k = h.by[like]
+			}
+			h.by = append(h.by, k)
+		}
+	}
+	was := b.admit.tenants
+	b.admit.tenants = nil
+	for _, t := range tenants {
+		kept := tenant{name: t.Name}
+		if i := slices.IndexFunc(was, func(k tenant) bool { return k.name == t.Name }); i >= 0 {
+			kept = was[i]
+		}
+		kept.quota = t.Quota
+		b.admit.tenants = append(b.admit.tenants, kept)
+	}
+	cold.Beside = b.cold.Beside
+	b.profiles, b.cold, b.hops, b.from, b.price = profiles, cold, hops, from, price
+}
+
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
 	if b.from.Tells && h != nil && !h.unsaid {
@@ -593,6 +630,7 @@
 
 // tenant counts in transactions a second of this gateway.
 type tenant struct {
+	name                 string
 	quota, tokens, taken float64
 	rate                 average
 	greedy               bool // it sends far more than its portion
@@ -615,6 +653,7 @@
 	out     int // hops out
 	key     uint32
 	home    *group // the zone it came in
+	most    int    // hops that it may have
 	over    bool   // beyond its tenant's share
 	done    bool   // it has its final answer, or its stream has begun
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -26,6 +26,8 @@
 	Probed(now time.Duration, host HostID, l Load)
 	// Told brings what another gateway has told.
 	Told(now time.Duration, from int, held []Held)
+	// Retune brings other rules. Profiles keep their places, new ones come behind them; what is open keeps its own.
+	Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, hops HopRule, from Sources, price Price)
 	// Avoided tells how many hosts of the list get nothing new now; it changes nothing.
 	Avoided() int
 	// Timer reports that a timer set through Doer has fallen due.
@@ -124,6 +126,7 @@
 	Goal        time.Duration // service goal
 	Revenue     float64
 	LateRevenue float64 // share of the revenue that an answer past the goal earns
+	Dropped     bool    // nothing new comes of it but what was on its way
 }
 
 // Tenant is a sharer of the service; Quota is in transactions a second over all gateways.
