--- /dev/null
+++ b/cmd/spanmux/daily_test.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets a test start this program as a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("SPANMUX_TEST_RUN") != "" {
+		os.Args = os.Args[:1]
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// gateway starts the program beside others on the socket of ln, with a door of its own, and waits until it takes clients.
+func gateway(ln *os.File, dir string, n int, discovery, peer string) (p *exec.Cmd, door string) {
+	door = free()
+	path := filepath.Join(dir, fmt.Sprint(n))
+	text, _ := json.Marshal(map[string]any{"listen": "127.0.0.1:1", "control": door, "discovery": discovery, "seed": "7",
+		"peer_listen": peer, "peers": []string{peer}, "limits": map[string]any{"sockets": 400, "memory_mb": 64},
+		"settings": json.RawMessage(`{"balancers":1,"dcs":["a"],"myZone":"a","discovery":"subscribe",` +
+			`"obligations":{"askWithin":1000000},"limits":{"mostHops":2,"mayTell":true},"profiles":[` +
+			`{"name":"read","effect":"idempotent","serviceGoal":2000000,"hardLimit":2000000,"revenue":1}]}`)})
+	os.WriteFile(path, text, 0o600)
+	p = exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "SPANMUX_TEST_RUN=1", "BALANCER_CONFIG="+path, "BALANCER_ACCEPT_FD=3")
+	p.ExtraFiles = []*os.File{ln}
+	if err := p.Start(); err != nil {
+		panic(err)
+	}
+	for end := time.Now().Add(5 * time.Second); call("GET", door, "ready") != "yes"; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			panic("never ready")
+		}
+	}
+	return p, door
+}
+
+// free is an address that nobody listens at.
+func free() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// call is what an operator gets.
+func call(method, door, what string) string {
+	r, err := http.NewRequest(method, "http://"+door+"/-/"+what, nil)
+	if err != nil {
+		return err.Error()
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "no answer"
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(answer.Body)
+	return strings.TrimSpace(string(text))
+}
+
+// Two real processes on one inherited socket: the second takes over while clients ask all the time, on connections that they keep
+// and on new ones, and none is refused, closed on or left unread. Only the first ends; the datagrams' address goes over.
+func Example_replaced() {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "answer") }))
+	at := strings.TrimPrefix(host.URL, "http://")
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("index") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"h","endpoint":%q,"az":"a","state":"in_service"}]}`, at)
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	socket, _ := ln.(*net.TCPListener).File()
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	peer := free()
+	first, door := gateway(socket, dir, 1, strings.TrimPrefix(discovery.URL, "http://"), peer)
+	var asked, turnedBack atomic.Int64
+	stop, stopped := make(chan bool), make(chan bool)
+	for n := range 8 {
+		go func() {
+			client(ln.Addr().String(), n, stop, &asked, &turnedBack)
+			stopped <- true
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	second, door2 := gateway(socket, dir, 2, strings.TrimPrefix(discovery.URL, "http://"), peer)
+	first.Process.Signal(syscall.SIGTERM)
+	ended := first.Wait()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	for range 8 {
+		<-stopped
+	}
+	fmt.Println("asked:", asked.Load() > 200, "turned back:", turnedBack.Load(), "first ended:", ended)
+	fmt.Println("first:", call("GET", door, "ready"), "second:", call("GET", door2, "ready"))
+	conn, err := net.ListenPacket("udp", peer)
+	fmt.Println("datagrams go to the second:", conn == nil && err != nil)
+	var shown struct {
+		Succeeded map[string]int64
+		Forwards  int64
+	}
+	json.Unmarshal([]byte(call("GET", door2, "metrics")), &shown)
+	fmt.Println("the second's figures:", shown.Succeeded["read"] > 50 && shown.Forwards >= shown.Succeeded["read"])
+	second.Process.Signal(syscall.SIGTERM)
+	fmt.Println("second ended:", second.Wait())
+	// Output:
+	// asked: true turned back: 0 first ended: <nil>
+	// first: no answer second: yes
+	// datagrams go to the second: true
+	// the second's figures: true
+	// second ended: <nil>
+}
+
+// client asks every few milliseconds until told to stop; some keep their connection, some do not.
+func client(addr string, n int, stop chan bool, asked, turnedBack *atomic.Int64) {
+	var nc net.Conn
+	var r *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		if nc == nil {
+			var err error
+			if nc, err = net.Dial("tcp", addr); err != nil {
+				turnedBack.Add(1)
+				continue
+			}
+			r = bufio.NewReader(nc)
+		}
+		fmt.Fprintf(nc, "GET /read HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d-%d\r\nX-Qos: read\r\nX-Expires-In-Ms: 1500\r\n\r\n", n, i)
+		asked.Add(1)
+		answer, err := http.ReadResponse(r, nil)
+		if err != nil {
+			turnedBack.Add(1)
+			nc.Close()
+			nc = nil
+			continue
+		}
+		io.Copy(io.Discard, answer.Body)
+		if answer.Close || n%2 == 0 && i%7 == 0 {
+			nc.Close()
+			nc = nil
+		}
+	}
+}
+
+// A number that is no listening socket stops the start, and says so; so does a door that can't be opened.
+func Example_run_noSocket() {
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "config.json")
+	try := func(descriptor, control string) {
+		os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0","control":"`+control+`","discovery":"127.0.0.1:9","seed":"7",`+
+			`"settings":{"balancers":1}}`), 0o600)
+		os.Setenv("BALANCER_ACCEPT_FD", descriptor)
+		defer os.Unsetenv("BALANCER_ACCEPT_FD")
+		fmt.Println(run(path, io.Discard))
+	}
+	file, _ := os.Create(filepath.Join(dir, "file"))
+	defer file.Close()
+	try("seven", "")
+	try("4711", "")
+	try("0", "")
+	taken, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer taken.Close()
+	try("", "nowhere")
+	at := taken.Addr().String()
+	os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0","control":"`+at+`","seed":"7","settings":{"balancers":1}}`), 0o600)
+	fmt.Println(strings.Contains(fmt.Sprint(run(path, io.Discard)), "address already in use"))
+	// Output:
+	// descriptor "seven" is no number
+	// descriptor 4711 is no listening socket
+	// descriptor 0 is no listening socket
+	// door for operators: listen tcp: address nowhere: missing port in address
+	// true
+}
+
+// Files that SIGHUP brings are counted as taken or turned down, and a file turned down changes nothing.
+func Example_run_files() {
+	dir, _ := os.MkdirTemp("", "spanmux")
+	defer os.RemoveAll(dir)
+	path, door := filepath.Join(dir, "config.json"), free()
+	file := func(name, limit string) string {
+		return `{"listen":"127.0.0.1:0","control":"` + door + `","discovery":"127.0.0.1:9","seed":"7","settings":{"balancers":1,` +
+			`"dcs":["a"],"myZone":"a","limits":{"mostHops":2},"profiles":[{"name":"` + name + `","effect":"idempotent",` +
+			`"serviceGoal":2000000,"hardLimit":` + limit + `,"revenue":1}]}}`
+	}
+	os.WriteFile(path, []byte(file("read", "2000000")), 0o600)
+	ended := make(chan error)
+	go func() { ended <- run(path, io.Discard) }()
+	until := func(what string) {
+		for end := time.Now().Add(5 * time.Second); !strings.Contains(call("GET", door, "metrics"), what); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				fmt.Println("never", what)
+				return
+			}
+		}
+	}
+	until(`"sighup_applied":0`)
+	for i, text := range []string{"", file("list", "0"), file("list", "1000000"), file("list", "1000000")[:80]} {
+		os.WriteFile(path, []byte(text), 0o600)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		until([]string{`"sighup_rejected":1`, `"sighup_rejected":2`, `"sighup_applied":1`, `"sighup_rejected":3`}[i])
+	}
+	fmt.Println(call("GET", door, "metrics"))
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	fmt.Println(<-ended)
+	// Output:
+	// {"succeeded":{"list":0,"read":0},"declined":{"list":0,"read":0},"aborted":{"list":0,"read":0},"forwards":0,"outstanding":0,"discovered":0,"ejected":0,"sighup_applied":1,"sighup_rejected":3}
+	// <nil>
+}
--- a/internal/given/retune.go
+++ b/internal/given/retune.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -45,7 +46,7 @@
 		if !ok {
 			return fmt.Errorf("%s: no object", at)
 		}
-		for key := range was { // in any order: one that is missing is enough
+		for _, key := range slices.Sorted(maps.Keys(was)) {
 			below, there := m[key]
 			if !there {
 				return fmt.Errorf("%s.%s: missing", at, key)
--- /dev/null
+++ b/internal/given/retune_test.go
@@ -0,0 +1,123 @@
+package given_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"spanmux/internal/given"
+	"spanmux/logic"
+)
+
+const inForce = `{"discovery":"127.0.0.1:1","known":{"rev":1},"settings":{"balancers":2,"me":0,"myZone":"a","dcs":["a"],` +
+	`"limits":{"mostHops":3,"mayTell":true},"profiles":[` +
+	`{"name":"read","effect":"idempotent","serviceGoal":200000,"hardLimit":400000,"revenue":1},` +
+	`{"name":"pay","effect":"at_most_once","serviceGoal":200000,"hardLimit":400000,"revenue":1,"note":""}]}}`
+
+// settings is that part of a file.
+func settings(file string) []byte {
+	_, text, _ := strings.Cut(file, `"settings":`)
+	return []byte(strings.TrimSuffix(text, "}"))
+}
+
+// A file is taken whole or not at all: a broken one is turned down by the key that is at fault.
+func ExampleOpened_Retuned() {
+	in, err := given.Read(settings(inForce), 0)
+	if err != nil {
+		panic(err)
+	}
+	for _, change := range [][2]string{
+		{"", ""}, {`"known":{"rev":1},`, ""}, {`"note":""`, `"more":1`}, {`"name":"pay"`, `"name":"buy"`}, {inForce, ""}, {inForce, "{}"},
+		{inForce, "[]"}, {"]}}", "]}"}, {`"discovery":"127.0.0.1:1",`, ""}, {`"revenue":1},`, `"revenue":1`}, {`"hardLimit":400000,`, ""},
+		{`"mostHops":3,`, ""}, {`,"limits":{"mostHops":3,"mayTell":true}`, ""}, {`"mostHops":3`, `"mostHops":0`}, {`"mostHops":3`, `"mostHops":-1`},
+		{`"mostHops":3`, `"mostHops":"3"`}, {`"mostHops":3`, `"mostHops":2.5`}, {`"mostHops":3`, `"mostHops":1000000`},
+		{`"hardLimit":400000`, `"hardLimit":0`}, {`"hardLimit":400000`, `"hardLimit":-5`}, {`"hardLimit":400000`, `"hardLimit":NaN`},
+		{`"hardLimit":400000`, `"hardLimit":9e15`}, {`"hardLimit":400000`, `"hardLimit":9000000000000000`}, {`"serviceGoal":200000`, `"serviceGoal":null`},
+		{`"effect":"idempotent"`, `"effect":"twice"`}, {`"effect":"idempotent"`, `"effect":"deduplicated"`}, {`"name":"pay"`, `"name":"read"`},
+		{`"revenue":1`, `"revenue":-1`}, {`"me":0`, `"me":1`}, {`"profiles":[`, `"profiles":[],"was":[`},
+	} {
+		text := strings.Replace(inForce, change[0], change[1], 1)
+		err := given.Complete([]byte(inForce), []byte(text), "known")
+		if err == nil {
+			_, err = in.Retuned(settings(text), 2)
+		}
+		if len(change[0]) == len(inForce) {
+			change[0] = "all"
+		}
+		fmt.Printf("%s -> %s: %v\n", change[0], change[1], err)
+	}
+	// Output:
+	// -> : <nil>
+	// "known":{"rev":1}, -> : <nil>
+	// "note":"" -> "more":1: <nil>
+	// "name":"pay" -> "name":"buy": <nil>
+	// all -> : unexpected end of JSON input
+	// all -> {}: .discovery: missing
+	// all -> []: : no object
+	// ]}} -> ]}: unexpected end of JSON input
+	// "discovery":"127.0.0.1:1", -> : .discovery: missing
+	// "revenue":1}, -> "revenue":1: invalid character '{' after object key:value pair
+	// "hardLimit":400000, -> : .settings.profiles[0].hardLimit: missing
+	// "mostHops":3, -> : .settings.limits.mostHops: missing
+	// ,"limits":{"mostHops":3,"mayTell":true} -> : .settings.limits: missing
+	// "mostHops":3 -> "mostHops":0: settings: limits.mostHops: 0
+	// "mostHops":3 -> "mostHops":-1: settings: limits.mostHops: -1
+	// "mostHops":3 -> "mostHops":"3": settings: json: cannot unmarshal string into Go struct field .limits.mostHops of type int
+	// "mostHops":3 -> "mostHops":2.5: settings: json: cannot unmarshal number 2.5 into Go struct field .limits.mostHops of type int
+	// "mostHops":3 -> "mostHops":1000000: settings: limits.mostHops: 1000000
+	// "hardLimit":400000 -> "hardLimit":0: settings: profile "read": hardLimit
+	// "hardLimit":400000 -> "hardLimit":-5: settings: profile "read": hardLimit
+	// "hardLimit":400000 -> "hardLimit":NaN: invalid character 'N' looking for beginning of value
+	// "hardLimit":400000 -> "hardLimit":9e15: settings: json: cannot unmarshal number 9e15 into Go struct field .profiles.hardLimit of type int64
+	// "hardLimit":400000 -> "hardLimit":9000000000000000: settings: profile "read": hardLimit
+	// "serviceGoal":200000 -> "serviceGoal":null: settings: profile "read": serviceGoal
+	// "effect":"idempotent" -> "effect":"twice": settings: profile read: unknown effect "twice"
+	// "effect":"idempotent" -> "effect":"deduplicated": settings: profile read: unknown group ""
+	// "name":"pay" -> "name":"read": settings: profile "read": name
+	// "revenue":1 -> "revenue":-1: settings: profile "read": revenue
+	// "me":0 -> "me":1: settings: me: changes only with a restart
+	// "profiles":[ -> "profiles":[],"was":[: settings: profiles: none
+}
+
+// Gateways that know profiles by other places, as one has been told to drop and add some, do not misread each other.
+func ExampleOpened_Held() {
+	one, _ := given.Read(settings(inForce), 0)
+	other, _ := given.Read(settings(strings.Replace(inForce, `"name":"read"`, `"name":"list"`, 1)), 0)
+	if to, err := other.Retuned(settings(inForce), 2); err == nil {
+		other.Gateway = stub{}
+		other.Retune(time.Second, to)
+	}
+	for _, k := range []logic.Held{{Kind: logic.Out, Host: 5, Hops: 3}, {Kind: logic.Asks, Profile: 0}, {Kind: logic.Ended, Host: 7, Profile: 1}} {
+		for msg := range one.Messages([]logic.Held{k}) {
+			held, err := other.Held(msg)
+			fmt.Println(k.Kind, "place", k.Profile, "->", held[0].Kind, "place", held[0].Profile, held[0].Host, held[0].Hops, err)
+		}
+	}
+	for msg := range other.Messages([]logic.Held{{Kind: logic.Asks, Profile: 0}, {Kind: logic.Out, Host: 5}}) {
+		held, err := one.Held(msg)
+		fmt.Println("one that is not known here is left out:", len(held), err)
+	}
+	place := func(now time.Duration, name string, effect logic.Effect) {
+		fmt.Print(name, " ", effect, ": ")
+		fmt.Println(other.Place(now, name, effect))
+	}
+	place(2*time.Second, "list", logic.Idempotent)
+	place(3*time.Second, "list", logic.Idempotent)
+	place(3*time.Second, "read", logic.Idempotent)
+	place(3*time.Second, "read", logic.Journalled)
+	// Output:
+	// 0 place 0 -> 0 place 0 5 3 <nil>
+	// 3 place 0 -> 3 place 2 0 0 <nil>
+	// 2 place 1 -> 2 place 1 7 0 <nil>
+	// one that is not known here is left out: 1 <nil>
+	// list 0: 0 true
+	// list 0: -1 false
+	// read 0: 2 true
+	// read 1: -1 true
+}
+
+// stub decides nothing.
+type stub struct{ logic.Gateway }
+
+func (stub) Retune(time.Duration, []logic.Profile, []logic.Tenant, logic.ColdRule, logic.HopRule, logic.Sources, logic.Price) {
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -705,3 +705,34 @@
 	// rate 40 at host 3, hops: map[3:40]
 	// rate 900 at host 3, hops: map[1:39 3:1]
 }
+
+// What is open when rules change keeps its profile and its number of hops: a payment that may run twice from now on is not sent
+// twice where it was taken as one that may not. What comes then goes by the new ones, with what was learnt.
+func Example_retune() {
+	s := start([]logic.Profile{payment}, nil, host(1, "a", 1), host(2, "a", 1), host(3, "a", 1))
+	s.answered(10, 30, 0)
+	for id := range 3 {
+		s.take(id+1, 0, -1)
+	}
+	was, is := payment, payment
+	was.Dropped, is.Effect = true, logic.Idempotent
+	s.Retune(s.now, []logic.Profile{was, is}, nil, logic.ColdRule{}, logic.HopRule{Most: 2, CallOff: true},
+		logic.Sources{}, logic.Price{})
+	s.end(1, 0, logic.Error, ms)
+	s.end(2, 0, logic.Full, ms)
+	s.end(2, 1, logic.Full, ms)
+	s.take(4, 1, -1)
+	s.end(4, 0, logic.Error, ms)
+	s.end(4, 1, logic.Full, ms)
+	s.print()
+	// Output:
+	// 2800 tx 1 hop to 1 for 395
+	// 2800 tx 2 hop to 1 for 395
+	// 2800 tx 3 hop to 2 for 395
+	// 2800 tx 1 abandoned
+	// 2800 tx 2 hop to 2 for 395
+	// 2800 tx 2 hop to 3 for 395
+	// 2800 tx 4 hop to 1 for 1000
+	// 2800 tx 4 hop to 3 for 1000
+	// 2800 tx 4 rolled back, come back after 0
+}
