--- a/logic/logic.go
+++ b/logic/logic.go
@@ -174,19 +174,31 @@
 	return time.Duration(b.chance.draw() * float64(all))
 }
 
-func (b *Balancer) isCold(h *host) bool { return h.Started > 0 && b.now-h.Started < b.cold.WarmUp }
+func (b *Balancer) isCold(h *host) bool {
+	return h.Started > 0 && b.now-h.Started < b.cold.WarmUp+b.cold.StartOff
+}
 
-// coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm.
+// coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm. Where the list
+// tells what hosts hold few of many gateways may send it one hop in a window, by lot, whatever else befalls: as a
+// third of the hosts restarted at once all had turned to the cold ones, which hold little.
 func (b *Balancer) coldRoom(h *host) bool {
 	if !b.isCold(h) {
 		return true
 	}
-	warm := b.cold.From + (1-b.cold.From)*float64(b.now-h.Started)/float64(b.cold.WarmUp)
-	through := max(1, h.model.places.value) / (b.work[0].value * max(h.model.pace.value, paceLeast))
+	age := max(0, b.now-h.Started-b.cold.StartOff)
+	warm := b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.WarmUp)
+	work := either(b.sized(), b.mean.value, b.work[0].value)
+	pace := either(h.model.pace.n == 0, 1, max(h.model.pace.value, paceLeast)) // of a kind never seen: the usual
+	through := max(1, h.model.places.value) / (work * pace)
 	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
 	share := part * warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
-	return h.sentSince(b.now-b.cold.TipAfter) < max(1, int(share)) &&
-		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
+	most := max(1, int(share))
+	if b.sized() {
+		lot := chance{b.chance.seed ^ uint32(h.ID), uint32(b.now / b.cold.TipAfter)}
+		most = int(share + lot.draw())
+	}
+	return h.sentSince(b.now-b.cold.TipAfter) < most &&
+		(share >= 1 || b.place.Gateways <= fewGateways || b.sized() || b.chance.draw() < warm)
 }
 
 // Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
@@ -530,6 +542,11 @@
 
 // drawEven picks by weight, and looks at few hosts only, however many there are.
 func (b *Balancer) drawEven(g *group, t *tx, barred bool) *host {
+	for _, h := range g.young {
+		if b.isCold(h) && t.fits(h, b.now) && b.coldRoom(h) && (barred || !b.silent(h) && b.trusts(h, t)) {
+			return h
+		}
+	}
 	for i := range drawsMost + len(g.hosts) {
 		if len(g.hosts) == 0 {
 			break
@@ -562,25 +579,6 @@
 
 // Admission.
 
-// refill gives tenants a second's tokens, by an even part of the quota or what the middle tenant shows, so
-// that none at a busy gateway is taken for greedy.
-func (a *admission) refill(gateways float64) {
-	var parts []float64
-	for i := range a.tenants {
-		t := &a.tenants[i]
-		t.rate.add(t.taken, paceStep)
-		t.taken = 0
-		parts = append(parts, t.rate.value/t.quota)
-	}
-	slices.Sort(parts)
-	for i := range a.tenants {
-		t := &a.tenants[i]
-		portion := t.quota * max(1/gateways, parts[len(parts)/2])
-		t.greedy = t.rate.value > greedyFrom*portion
-		t.tokens = min(max(t.tokens, 0)+portion*overSlack, 2*portion*overSlack)
-	}
-}
-
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
@@ -631,6 +629,7 @@
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
 	b.taken, b.came = b.taken+1, b.came+1
+	b.mean.add(b.work[a.Profile].value, workStep)
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	if b.told() && b.from.MayProbe {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -152,6 +152,26 @@
 	// second 1 hops: map[1:9 2:7]
 }
 
+// Rule 4, at many gateways that the list tells what hosts hold: as most hosts stood still at once all turned to a cold one, which
+// holds little, and pushed it over (4.9 times what it could do). Now few may send it one hop in a window, by lot.
+func Example_coldHostByLot() {
+	sent := 0
+	for me := range 200 {
+		s := startAmong(200, me, logic.Sources{Sizes: logic.LiveSizes}, []logic.Profile{read}, nil)
+		old, cold := host(1, "a", 1), host(2, "a", 1)
+		old.Size, cold.Size, cold.Started = 0.05, 1, s.now
+		s.List(s.now, logic.Whole, []logic.Host{old, cold})
+		for id := range 4 {
+			s.take(id, 0, -1)
+			s.wait(200 * ms)
+		}
+		sent += s.hopsTo[2]
+	}
+	fmt.Println("hops to the cold host in a window, of 800:", sent)
+	// Output:
+	// hops to the cold host in a window, of 800: 10
+}
+
 // Rule 1: each transaction has one final answer, in time; what comes later is only learnt from.
 func Example_finalAnswers() {
 	late := payment
--- a/logic/state.go
+++ b/logic/state.go
@@ -34,6 +34,7 @@
 	free    []float64     // by profile: the least that has been of late, as when hosts are free
 	was     []float64     // by profile: answers counted in its time a second ago
 	errs    average       // share of errors at all hosts
+	mean    average       // time of the transactions taken, as of work
 	revenue average       // of the transactions taken
 	came    float64       // transactions taken of late
 	passed  float64       // of these, those that went to a host
@@ -462,7 +463,7 @@
 func (t *table) arrange() {
 	t.ready = t.ready[:0]
 	for _, g := range t.groups {
-		g.hosts = g.hosts[:0]
+		g.hosts, g.young = g.hosts[:0], g.young[:0]
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
 		h := t.byID[id]
@@ -473,6 +474,9 @@
 		if h.State == Ready {
 			h.group = t.groups[i]
 			t.ready, h.group.hosts = append(t.ready, h), append(h.group.hosts, h)
+			if h.Started > 0 {
+				h.group.young = append(h.group.young, h)
+			}
 		} else if h.State == Gone && h.own == 0 {
 			delete(t.byID, id)
 		}
@@ -499,6 +503,7 @@
 	zone   string
 	index  int // among the zones
 	hosts  []*host
+	young  []*host  // those of which a start is known
 	order  []*group // this one and then the others
 	queue  average  // hops waiting at a host here, where answers report it to one of many
 	rest   average  // hops of other gateways at a host here, where answers report what is held to one of many
@@ -742,6 +747,25 @@
 	greedy               bool // it sends far more than its portion
 }
 
+// refill gives tenants a second's tokens, by an even part of the quota or what the middle tenant shows, so
+// that none at a busy gateway is taken for greedy.
+func (a *admission) refill(gateways float64) {
+	var parts []float64
+	for i := range a.tenants {
+		t := &a.tenants[i]
+		t.rate.add(t.taken, paceStep)
+		t.taken = 0
+		parts = append(parts, t.rate.value/t.quota)
+	}
+	slices.Sort(parts)
+	for i := range a.tenants {
+		t := &a.tenants[i]
+		portion := t.quota * max(1/gateways, parts[len(parts)/2])
+		t.greedy = t.rate.value > greedyFrom*portion
+		t.tokens = min(max(t.tokens, 0)+portion*overSlack, 2*portion*overSlack)
+	}
+}
+
 // over tells whether a transaction goes beyond its tenant's share.
 func (a *admission) over(i int) bool {
 	t := &a.tenants[i]
