--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	staleAge    = 2 * time.Second        // after which reports, tells and a host's pace say little of now
 	priorPaces  = 3.0                    // answers for which the usual pace counts at a new host
 	freeRise    = 0.005                  // a second: how fast the least time of a profile is forgotten, minutes
+	riseInJam   = 0.02                   // the same where a zone has no end of a jam
 	overdue     = 2.0                    // expected times after which a time-out counts for the breaker
 	silentRuns  = 3.0                    // latencies, over hops out, without an answer that make a host silent
 	fullFrom    = 0.25                   // of the goal: expected time from which a group is near full
@@ -78,6 +79,33 @@
 	doubtTimes  = 2.5                    // of the expected time for an answer on such a one
 	workFrom    = 4.0                    // hops worked on there that a draw does not mind: keys save more
 	rateStep    = 0.2                    // smoothing of the own rate: about five seconds
+	rowChance   = 0.0001                 // of a row of failures, by their share at others, to open a breaker
+	errsMost    = 2                      // hosts that answer one with an error: it is not they, then,
+	errsUsual   = 0.1                    // where so many of all hops end so
+	furtherPart = 0.15                   // hops beyond the first for a transaction where nothing tells of jams
+	furtherMost = 3.0                    // of these at once
+	readsPart   = 2.5                    // of the goal: answers far sooner at a host show that a client reads
+	roomPart    = 4                      // of the room for answers that late ones may hold
+	feltStep    = 0.5                    // smoothing of what hops took at a host: the last two or three
+	feltFor     = 20 * time.Second       // for which that counts: hosts stay slow for as long
+	feltPower   = 2.0                    // of that by which a host is drawn less
+	feltFull    = 3.5                    // times the work that a full answer stands for
+	ownTimes    = 15.0                   // by which one with an own hop out is drawn less: it may be stuck
+	jamFor      = time.Second            // smoothing of what hops to a zone took, which is as quick as bursts
+	jamSmooth   = 0.25                   // of that, the least for an answer, where they are many
+	jamSwift    = 0.5                    // of that, the most, where they are few
+	jamDear     = 0.25                   // of that for profiles that earn more: hosts may see to them first
+	jamForget   = 5 * time.Second        // in which it goes to what it is at first
+	jamNone     = 0.6                    // what it is then: the first guess of a profile's time is long
+	jamOut      = 0.7                    // of the excess of what is out yet that counts
+	jamAge      = 1.7                    // part of its time that a hop has out yet: few are over so late
+	jamShed     = 1.2                    // from there transactions are rolled back by chance
+	jamAlways   = 2.05                   // from there always
+	stopFrom    = 1.0                    // from there on hops are called off sooner than at stopGoal
+	stopTo      = 1.75                   // from there as early as they are at all
+	stopGoal    = 1.2                    // of the goal, at which one is called off where there is no jam
+	stopAgain   = 0.5                    // the same in a jam, of what may run again: it waits behind all others
+	stopOnce    = 1.0                    // of what may not
 	coldPart    = 0.8                    // of a cold host's budget for it that it spends; a successor: the rest
 	heldSpare   = 0.5                    // of a core: what is held for each up to which a hop finds one free
 	heldFull    = 3.0                    // times the work that a hop takes: from there rolled back by chance
@@ -112,7 +140,7 @@
 		}
 	}
 	for _, g := range b.table.groups {
-		if !b.sized() {
+		if !b.byZone() {
 			reweigh(g.hosts)
 		}
 		g.rest.value -= forget * g.rest.value
@@ -150,7 +178,7 @@
 		return
 	}
 	for _, h := range b.table.merge(kind, hosts) { // without a record; what is out still counts
-		h.health = health{weight: 1, pace: average{1, priorPaces}, by: make([]breaker, len(b.profiles))}
+		h.health = health{weight: 1, felt: 1, pace: average{1, priorPaces}, by: make([]breaker, len(b.profiles))}
 	}
 	for _, entry := range hosts {
 		b.close(entry)
@@ -160,45 +188,33 @@
 	}
 }
 
-// close gives back what is idle to a host that drains or is gone, where that is a rule: on being told, and
-// as a hop or probe ends there, so that no time has to be kept.
-func (b *Balancer) close(h Host) {
-	if b.drains.Closes && h.State != Ready {
-		b.out.Release(h.ID)
-	}
-}
-
 // spread is a time by chance for a call of the list: in step all would be late together.
 func (b *Balancer) spread(usual time.Duration) time.Duration {
 	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
 	return time.Duration(b.chance.draw() * float64(all))
 }
 
-func (b *Balancer) isCold(h *host) bool {
-	return h.Started > 0 && b.now-h.Started < b.cold.WarmUp+b.cold.StartOff
-}
-
-// coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm. Where the list
-// tells what hosts hold few of many gateways may send it one hop in a window, by lot, whatever else befalls: as a
-// third of the hosts restarted at once all had turned to the cold ones, which hold little.
+// coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm. Where zones
+// are judged few of many gateways may send it one hop in a window, by lot, whatever else befalls: as a third
+// of the hosts restarted at once all had turned to the cold ones, which hold little.
 func (b *Balancer) coldRoom(h *host) bool {
 	if !b.isCold(h) {
 		return true
 	}
 	age := max(0, b.now-h.Started-b.cold.StartOff)
 	warm := b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.WarmUp)
-	work := either(b.sized(), b.mean.value, b.work[0].value)
+	work := either(b.byZone(), b.mean.value, b.work[0].value)
 	pace := either(h.model.pace.n == 0, 1, max(h.model.pace.value, paceLeast)) // of a kind never seen: the usual
 	through := max(1, h.model.places.value) / (work * pace)
 	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
 	share := part * warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
 	most := max(1, int(share))
-	if b.sized() {
+	if b.byZone() {
 		lot := chance{b.chance.seed ^ uint32(h.ID), uint32(b.now / b.cold.TipAfter)}
 		most = int(share + lot.draw())
 	}
 	return h.sentSince(b.now-b.cold.TipAfter) < most &&
-		(share >= 1 || b.place.Gateways <= fewGateways || b.sized() || b.chance.draw() < warm)
+		(share >= 1 || b.place.Gateways <= fewGateways || b.byZone() || b.chance.draw() < warm)
 }
 
 // Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
@@ -214,80 +230,11 @@
 
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
-func (b *Balancer) ask(t *tx) {
-	b.asking = append(b.asking, t)
-	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
-	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
-		if i := slices.Index(b.asking, t); i >= 0 {
-			b.asking = slices.Delete(b.asking, i, i+1)
-			t.home.missed(rowToOpen)
-			b.start(t)
-		}
-	})
-}
-
-func (b *Balancer) answered(from int, k Held, h *host) {
-	b.table.own().misses = 0
-	b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
-	switch t := b.asked(k.Profile); {
-	case t == nil || t.done:
-	case k.Host == 0:
-		b.shed++
-		b.finish(t)
-	case h != nil && t.fits(h, b.now) && b.coldRoom(h):
-		if !b.draws(h.group) { // else it knows better
-			h.hold(from, max(0, k.Hops-h.own), b.now)
-		}
-		b.send(t, h)
-	default:
-		b.start(t)
-	}
-}
-
-func (b *Balancer) Told(now time.Duration, from int, held []Held) {
-	b.turn(now)
-	for _, k := range held {
-		switch h := b.table.readyHost(k.Host); {
-		case k.Kind == Answer:
-			b.answered(from, k, h)
-		case k.Kind == Asks:
-			b.drawFor(from, k)
-		case h == nil:
-		case k.Kind == Ended:
-			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
-		default:
-			if k.Kind == Sum && k.Took > 0 { // no time would make it look infinitely fast
-				h.pace.value, h.group.misses = float64(k.Took)/b.work[k.Profile].value, 0
-			}
-			h.hold(from, k.Hops, now)
-		}
-	}
-}
-
-// drawFor counts the hop as out until more is told.
-func (b *Balancer) drawFor(from int, k Held) {
-	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
-	for i := 0; i < b.place.Gateways && !b.draws(t.home); i++ {
-		t.home.skip++ // asked, as those before it are silent
-	}
-	answer := Held{Kind: Answer, Profile: k.Profile}
-	if h := b.admitted(t); h != nil {
-		answer.Host, answer.Hops = h.ID, h.own+h.others
-		by := either(b.draws(h.group), from, b.drawer(h.group))
-		h.hold(by, h.heldBy[by].hops+1, b.now)
-	}
-	b.out.Tell(from, []Held{answer})
-	if !b.relaying {
-		b.relaying = true
-		b.relay()
-	}
-}
-
 // Health: breakers, latency and weight of a host.
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
 // that errs on half of its hops may never err five times in a row, so the share of errors counts too.
-func (k *breaker) note(bad bool, errs, usual float64, now time.Duration, chance float64) bool {
+func (k *breaker) note(bad bool, errs, usual, others float64, now time.Duration, chance float64) bool {
 	was := k.open
 	switch {
 	case !bad && was && !k.trying:
@@ -297,7 +244,8 @@
 	default:
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
-		if was && k.trying || !was && (k.row >= rowToOpen || k.share >= shareToOpen+usual) {
+		if was && k.trying || !was && (k.row >= rowToOpen && math.Pow(others, float64(k.row)) < rowChance ||
+			k.share >= shareToOpen+usual) {
 			k.open, k.trying = true, false
 			k.cool = min(max(2*k.cool, coolFirst), coolMost)
 			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
@@ -329,6 +277,9 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	b.heard(h, r.Load)
+	if b.blind() {
+		b.feel(h, profile, r)
+	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	bad, errs := false, 0.0
 	switch r.End {
@@ -356,15 +307,16 @@
 		return
 	}
 	b.errs.add(errs, workStep)
-	usual := 0.0
+	usual, others := 0.0, 0.0
 	if bad {
-		usual = b.errs.value + min(usualTimes*b.table.errsElsewhere(h), usualMost)
+		others = b.table.errsElsewhere(h)
+		usual = b.errs.value + min(usualTimes*others, usualMost)
 	}
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, usual, b.now, b.chance.draw()) {
+		} else if c.note(bad, errs, usual, others, b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -419,7 +371,7 @@
 // choose takes the own group unless that is near full, else the one that promises most, the more so as a
 // crossing is dear. If every breaker is open, any allowed host will do.
 func (b *Balancer) choose(t *tx) (pick *host, expected float64) {
-	if b.sized() {
+	if b.byZone() {
 		return b.chooseEven(t), 0
 	}
 	dear := b.price.Crossing * b.revenue.value / t.prof.Revenue // a crossing, against what this one earns
@@ -494,9 +446,9 @@
 // Live sizes. One of many gateways that do not tell each other learns of hosts by the list, which says to all
 // what each held some second ago. All would take the same least loaded ones: it is evened out instead.
 
-// even has weights follow what hosts hold for each core: slowly and for good by what kinds and hosts hold over
-// the mean; until the next word by what evens out the difference with what comes in a second. New kinds begin
-// with the root of their size: lists say which is the faster, and too much of by how much.
+// even has weights follow what hosts hold for each core: slowly and for good by what kinds and hosts hold
+// over the mean; until the next word by what evens out the difference with what comes in a second. New kinds
+// begin with the root of their size: lists say which is the faster, and too much of by how much.
 func (b *Balancer) even(listed []Host) {
 	all := b.table.holds(listed)
 	for _, m := range b.table.models {
@@ -547,15 +499,15 @@
 			return h
 		}
 	}
-	for i := range drawsMost + len(g.hosts) {
-		if len(g.hosts) == 0 {
-			break
-		}
-		h := g.hosts[int(b.chance.draw()*float64(len(g.hosts)))]
-		if i >= drawsMost {
-			h = g.hosts[i-drawsMost]
-		} else if b.chance.draw()*weightBy > h.lean*h.weight*h.model.weight {
-			continue
+	n := len(g.hosts)
+	at := b.chance.draw() * float64(n)
+	for i := range drawsMost + n {
+		h := g.hosts[(i+int(at))%n]
+		if i < drawsMost {
+			h = g.hosts[int(b.chance.draw()*float64(n))]
+			if b.chance.draw()*weightBy > b.weight(h) {
+				continue
+			}
 		}
 		if t.fits(h, b.now) && b.coldRoom(h) && (barred || !b.silent(h) && b.trusts(h, t)) {
 			return h
@@ -564,6 +516,15 @@
 	return nil
 }
 
+// weight is a host's in such a draw. Where nothing tells of hosts it goes by what own hops took there lately,
+// and whether one is out: of many gateways each meets a host so seldom that it should have ended.
+func (b *Balancer) weight(h *host) float64 {
+	if b.sized() {
+		return h.lean * h.weight * h.model.weight
+	}
+	return weightBy / math.Pow(max(1, b.feltAt(h)), feltPower) / (1 + ownTimes*float64(h.own))
+}
+
 // trusts tells whether no breaker bars a host, or lets it be tried. A trial must not cost a transaction that
 // cannot run twice, unless its own profile is on trial.
 func (b *Balancer) trusts(h *host, t *tx) bool {
@@ -589,18 +550,20 @@
 		p := &b.profiles[i]
 		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
 	}
-	earns := func(i int) float64 { // for the same work
-		return b.profiles[i].Revenue / either(b.price.ByWork, 1, b.work[i].value)
-	}
 	most := bears(profile)
 	for i := range b.profiles {
-		if !b.profiles[i].Dropped && earns(i) > yieldFrom*earns(profile) {
+		if !b.profiles[i].Dropped && b.earns(i) > yieldFrom*b.earns(profile) {
 			most = min(most, yieldPart*bears(i))
 		}
 	}
 	return most * b.work[profile].value
 }
 
+// earns is what a profile earns for the same work.
+func (b *Balancer) earns(i int) float64 {
+	return b.profiles[i].Revenue / either(b.price.ByWork, 1, b.work[i].value)
+}
+
 // A transaction's path.
 
 // fits keeps the second rule: no host where an effect could happen twice; and none tried before.
@@ -622,29 +585,33 @@
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
 	b.turn(now)
 	p := &b.profiles[a.Profile]
-	t := &tx{id: id, profile: a.Profile, prof: p, key: a.Key, home: b.table.own(), stop: now + a.Budget,
-		most: b.hops.Most, weighs: either(a.Coming, 0, 1)}
+	t := &tx{id: id, profile: a.Profile, tenant: a.Tenant, prof: p, key: a.Key, home: b.table.own(),
+		stop: now + a.Budget + b.hops.BudgetOff, most: b.hops.Most, weighs: either(a.Coming, 0, 1)}
 	// Stopped at its goal, an idempotent one only comes again: a late answer at least ends its client's tries.
 	if p.LateRevenue == 0 && p.Effect != Idempotent {
 		t.stop = min(t.stop, now+p.Goal-goalSlack)
 	}
 	b.taken, b.came = b.taken+1, b.came+1
 	b.mean.add(b.work[a.Profile].value, workStep)
+	b.further = min(b.further+furtherPart, furtherMost)
 	b.revenue.add(p.Revenue, workStep)
 	b.txs[id] = t
 	if b.told() && b.from.MayProbe {
 		b.freshen()
 	}
 	t.over = a.Tenant >= 0 && b.admit.over(a.Tenant)
+	if b.hops.Room > 0 {
+		b.at(now+p.Goal, func() { b.overstays(t) })
+	}
 	either(b.draws(t.home), b.start, b.ask)(t)
 }
 
 // admitted is the host for a new transaction, nil where it is rolled back; one long unheard of is tried.
 // News of few hops held must not let in all tries at once: hardly more pass than passed of late.
 func (b *Balancer) admitted(t *tx) *host {
-	if b.sized() {
+	if b.byZone() {
 		h := b.chooseEven(t)
-		return either(h != nil && b.full(h.group.meets+heldSpare, heldFull, heldMost), nil, h)
+		return either(h != nil && b.jammed(t, h.group), nil, h)
 	}
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
@@ -664,6 +631,22 @@
 	return h
 }
 
+// jammed tells by chance whether a transaction is rolled back for what hops take in a zone. What is known of
+// another is little and old: a jam of the own one counts there too, or all would try the others by turns.
+func (b *Balancer) jammed(t *tx, g *group) bool {
+	if b.sized() {
+		return b.full(g.meets+heldSpare, heldFull, heldMost)
+	}
+	return b.full(max(b.jam(g, t.profile), b.jam(t.home, t.profile)), jamShed, jamAlways)
+}
+
+// bears is for how long a hop is let be: the less, the more a zone is jammed. What waits turns hosts slow.
+func (b *Balancer) bears(t *tx, g *group) time.Duration {
+	least := either(t.prof.Effect == Idempotent, stopAgain, stopOnce)
+	jam := min(max(0, (b.jam(g, t.profile)-stopFrom)/(stopTo-stopFrom)), 1)
+	return time.Duration((stopGoal + (least-stopGoal)*jam) * float64(t.prof.Goal))
+}
+
 func (b *Balancer) start(t *tx) {
 	switch h := b.admitted(t); {
 	case t.done:
@@ -696,6 +679,33 @@
 		}
 	}})
 	b.out.Hop(t.id, h.ID, wait)
+	if b.blind() && b.hops.CallOff {
+		b.at(b.now+b.bears(t, h.group), func() { b.giveUp(t, len(t.hops)-1) })
+	}
+}
+
+// giveUp calls a hop off that is out yet.
+func (b *Balancer) giveUp(t *tx, i int) {
+	if !t.done && !t.hops[i].over {
+		b.out.CallOff(t.id, i)
+	}
+}
+
+// reads tells whether an answer is late though its host answers others far sooner: its client reads slowly.
+func (b *Balancer) reads(t *tx, k *hop) bool {
+	return b.hops.Room > 0 && b.now-k.at >= t.prof.Goal && k.host.lat.value < float64(t.prof.Goal)/readsPart
+}
+
+// overstays ends what its client reads slowly where such ones hold much of the room for answers: all others
+// wait for it, and hosts look slow that are not.
+func (b *Balancer) overstays(t *tx) {
+	if t.done || len(t.hops) == 0 || !b.reads(t, &t.hops[len(t.hops)-1]) {
+		return
+	}
+	t.late = true
+	if b.late++; roomPart*b.late > b.hops.Room {
+		b.finish(t)
+	}
 }
 
 // unsure tells whether nothing goes to a host: a new connection, which costs it much even if it fails, just
@@ -718,10 +728,14 @@
 
 // again sends a further hop where a host can still answer in time.
 func (b *Balancer) again(t *tx) bool {
+	if t.errors() >= errsMost && b.errs.value >= errsUsual || b.blind() && b.further < 1 {
+		return false
+	}
 	h, e := b.choose(t)
 	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) {
 		return false
 	}
+	b.further--
 	b.send(t, h)
 	return true
 }
@@ -736,17 +750,6 @@
 	b.settle(t)
 }
 
-func (b *Balancer) settle(t *tx) {
-	for i := range t.hops {
-		if !t.hops[i].over && !t.done && b.hops.CallOff {
-			b.out.CallOff(t.id, i)
-		}
-	}
-	if t.done = true; t.out == 0 {
-		delete(b.txs, t.id)
-	}
-}
-
 func (b *Balancer) HopEnded(now time.Duration, id TxID, i int, r Result, over bool) {
 	b.turn(now)
 	t, k := b.hopOut(id, i)
@@ -768,7 +771,7 @@
 	if !b.draws(k.host.group) && k.at >= b.still {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
 	}
-	if k.at >= b.still { // else its time is that for which this gateway stood still, and its report as old
+	if k.at >= b.still && !b.reads(t, k) { // else its time is this gateway's that stood still, or its client's
 		b.learn(k.host, k.load, t.profile, r)
 	}
 	either(t.done || over, func() { b.settle(t) }, k.then)()
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,10 +29,12 @@
 	due    dueTimes
 	chance chance
 
-	work    []average     // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
-	slow    []average     // the same over far more answers
-	free    []float64     // by profile: the least that has been of late, as when hosts are free
-	was     []float64     // by profile: answers counted in its time a second ago
+	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	slow    []average // the same over far more answers
+	free    []float64 // by profile: the least that has been of late, as when hosts are free
+	was     []float64 // by profile: answers counted in its time a second ago
+	further float64
+	late    int           // transactions past their goals
 	errs    average       // share of errors at all hosts
 	mean    average       // time of the transactions taken, as of work
 	revenue average       // of the transactions taken
@@ -153,6 +155,75 @@
 	}
 }
 
+func (b *Balancer) ask(t *tx) {
+	b.asking = append(b.asking, t)
+	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
+	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
+		if i := slices.Index(b.asking, t); i >= 0 {
+			b.asking = slices.Delete(b.asking, i, i+1)
+			t.home.missed(rowToOpen)
+			b.start(t)
+		}
+	})
+}
+
+func (b *Balancer) answered(from int, k Held, h *host) {
+	b.table.own().misses = 0
+	b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
+	switch t := b.asked(k.Profile); {
+	case t == nil || t.done:
+	case k.Host == 0:
+		b.shed++
+		b.finish(t)
+	case h != nil && t.fits(h, b.now) && b.coldRoom(h):
+		if !b.draws(h.group) { // else it knows better
+			h.hold(from, max(0, k.Hops-h.own), b.now)
+		}
+		b.send(t, h)
+	default:
+		b.start(t)
+	}
+}
+
+func (b *Balancer) Told(now time.Duration, from int, held []Held) {
+	b.turn(now)
+	for _, k := range held {
+		switch h := b.table.readyHost(k.Host); {
+		case k.Kind == Answer:
+			b.answered(from, k, h)
+		case k.Kind == Asks:
+			b.drawFor(from, k)
+		case h == nil:
+		case k.Kind == Ended:
+			b.learn(h, float64(max(1, k.Hops)), k.Profile, Result{k.End, k.Took, NoLoad})
+		default:
+			if k.Kind == Sum && k.Took > 0 { // no time would make it look infinitely fast
+				h.pace.value, h.group.misses = float64(k.Took)/b.work[k.Profile].value, 0
+			}
+			h.hold(from, k.Hops, now)
+		}
+	}
+}
+
+// drawFor counts the hop as out until more is told.
+func (b *Balancer) drawFor(from int, k Held) {
+	t := &tx{profile: k.Profile, prof: &b.profiles[k.Profile], home: b.table.group(k.Hops)}
+	for i := 0; i < b.place.Gateways && !b.draws(t.home); i++ {
+		t.home.skip++ // asked, as those before it are silent
+	}
+	answer := Held{Kind: Answer, Profile: k.Profile}
+	if h := b.admitted(t); h != nil {
+		answer.Host, answer.Hops = h.ID, h.own+h.others
+		by := either(b.draws(h.group), from, b.drawer(h.group))
+		h.hold(by, h.heldBy[by].hops+1, b.now)
+	}
+	b.out.Tell(from, []Held{answer})
+	if !b.relaying {
+		b.relaying = true
+		b.relay()
+	}
+}
+
 // asked takes out the first transaction of a profile that waits for a host drawn by another gateway.
 func (b *Balancer) asked(profile int) *tx {
 	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == profile })
@@ -173,6 +244,72 @@
 // sized tells whether it learns by the list what hosts hold, and from nobody else.
 func (b *Balancer) sized() bool { return b.from.Sizes == LiveSizes && b.alone() }
 
+// blind tells whether this is one of many gateways that learn of hosts by the ends of their own hops alone.
+func (b *Balancer) blind() bool {
+	return b.alone() && !b.from.Reports && !b.from.Probes && b.from.Sizes != LiveSizes
+}
+
+// byZone tells whether it judges zones, as it knows too little of any one host in time.
+func (b *Balancer) byZone() bool { return b.sized() || b.blind() }
+
+// lone tells whether this is one of few that learn of hosts by the ends of their own hops alone.
+func (b *Balancer) lone() bool {
+	return b.place.Gateways <= fewGateways && !b.from.Tells && !b.from.Reports && !b.from.Probes
+}
+
+// feel takes in what a hop took, of what it takes at a free host. What a profile feels those that earn less feel alike; of those that
+// earn more it says less, as hosts may see to them first.
+func (b *Balancer) feel(h *host, profile int, r Result) {
+	times := float64(r.Took) / b.free[profile]
+	switch r.End {
+	case Committed, TimedOut, CalledOff:
+	case Full:
+		times = feltFull
+	default:
+		return
+	}
+	h.felt = b.feltAt(h)
+	h.felt, h.feltSince = h.felt+feltStep*(times-h.felt), b.now
+	g := h.group
+	for len(g.jams) < len(b.profiles) {
+		g.jams = append(g.jams, jam{value: jamNone})
+	}
+	for i := range g.jams {
+		j := &g.jams[i]
+		step := min(max(1-math.Exp(-float64(b.now-j.at)/float64(jamFor)), jamSmooth), jamSwift)
+		if b.earns(i) > b.earns(profile) {
+			step *= jamDear
+		} else {
+			j.at = b.now
+		}
+		j.value += step * (times - j.value)
+	}
+}
+
+// feltAt is what hops took at a host of late: one that answers nothing more is forgotten.
+func (b *Balancer) feltAt(h *host) float64 {
+	return 1 + (h.felt-1)*math.Exp(-float64(b.now-h.feltSince)/float64(feltFor))
+}
+
+// jam is what hops take in a zone for a profile, those that are out yet and late included.
+func (b *Balancer) jam(g *group, profile int) float64 {
+	v := jamNone
+	if profile < len(g.jams) {
+		v += (g.jams[profile].value - jamNone) * math.Exp(-float64(b.now-g.jams[profile].at)/float64(jamForget))
+	}
+	more := 0.0
+	for _, t := range b.txs { // in any order: it is a sum
+		for i := range t.hops {
+			k := &t.hops[i]
+			age := float64(b.now-k.at) / b.free[t.profile] / jamAge
+			if !k.over && k.host.group == g && age > v && b.earns(t.profile) >= b.earns(profile) {
+				more += jamOut * (age - v)
+			}
+		}
+	}
+	return v + more
+}
+
 // load is what the hosts of a group hold, of that at which their cores are all in use, as far as told; -1 where it is not.
 func (b *Balancer) load(g *group) float64 {
 	if !b.told() || len(g.hosts) == 0 || g.hosts[0].model.knee() == 0 {
@@ -250,6 +387,14 @@
 	return n
 }
 
+// close gives back what is idle to a host that drains or is gone, where that is a rule: on being told, and
+// as a hop or probe ends there, so that no time has to be kept.
+func (b *Balancer) close(h Host) {
+	if b.drains.Closes && h.State != Ready {
+		b.out.Release(h.ID)
+	}
+}
+
 func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
 	b.turn(now)
 	switch h := b.table.byID[id]; {
@@ -511,6 +656,7 @@
 	leave  float64  // part of its traffic that goes to others, where the list tells what hosts hold
 	room   float64  // hosts here, those counted less that hold much, ditto
 	meets  float64  // held for each core at the hosts that hops go to, ditto
+	jams   []jam    // by profile, what hops take here, where nothing tells of hosts
 	skip   int      // those that drew here and were given up as silent
 	misses int      // answers in a row that did not come
 }
@@ -522,6 +668,12 @@
 	}
 }
 
+// jam is smoothed, with the time of its last answer.
+type jam struct {
+	value float64
+	at    time.Duration
+}
+
 type heldBy struct {
 	hops int
 	at   time.Duration
@@ -547,23 +699,25 @@
 }
 
 type health struct {
-	weight  float64
-	fresh   bool          // an answer since the last second
-	bad     bool          // a failure, full answer or time-out since the last slow tick
-	pace    average       // times the usual time of a profile, with a core free
-	lat     average       // time of an answer, waits included
-	busy    float64       // reported utilisation
-	busyAt  time.Duration // when that came, 0 for never
-	probed  time.Duration // when last probed beside answers
-	rest    float64       // hops of other gateways there, as it last reported
-	restAt  time.Duration // when that came
-	work    float64       // hops that wait or are worked on there, by its queue, rate and time
-	workAt  time.Duration // when that came
-	lean    float64       // times the weight, until the list tells anew what hosts hold
-	paced   time.Duration // when an answer or time-out last said something of its pace
-	waiting time.Duration // since when hops are out without any answer, if any are
-	whole   breaker
-	by      []breaker // by profile
+	weight    float64
+	fresh     bool          // an answer since the last second
+	bad       bool          // a failure, full answer or time-out since the last slow tick
+	pace      average       // times the usual time of a profile, with a core free
+	lat       average       // time of an answer, waits included
+	busy      float64       // reported utilisation
+	busyAt    time.Duration // when that came, 0 for never
+	probed    time.Duration // when last probed beside answers
+	rest      float64       // hops of other gateways there, as it last reported
+	restAt    time.Duration // when that came
+	felt      float64       // what hops took here of late, of what they take at a free host
+	feltSince time.Duration // when that was
+	work      float64       // hops that wait or are worked on there, by its queue, rate and time
+	workAt    time.Duration // when that came
+	lean      float64       // times the weight, until the list tells anew what hosts hold
+	paced     time.Duration // when an answer or time-out last said something of its pace
+	waiting   time.Duration // since when hops are out without any answer, if any are
+	whole     breaker
+	by        []breaker // by profile
 }
 
 func (h *host) breakers(profile int) []*breaker { return []*breaker{&h.whole, &h.by[profile]} }
@@ -620,13 +774,16 @@
 			w.value *= mean.value
 		}
 		b.was[i] = w.n
-		b.free[i] *= 1 + freeRise // where gateways tell, a jam is in the crowd and does not raise the work
+		// Where gateways tell, a jam is in the crowd and does not raise the work. What stays so long although next to nothing is
+		// taken is no jam, but what a profile takes.
+		b.free[i] *= 1 + either(b.blind() && b.jam(b.table.own(), i) >= jamAlways, riseInJam, freeRise)
 		usual, step := *w, workStep
-		if b.told() { // a few short answers are not the least time
+		if b.told() || b.lone() { // a few short answers are not the least time
 			usual, step = b.slow[i], slowStep
 		}
 		switch {
-		case usual.n*step < 1 && !b.from.Tells && (b.told() || usual.value >= b.free[i]): // begun in a jam?
+		case usual.n == 0: // or what is never answered would yield to nothing, and all others to it
+		case usual.n*step < 1 && !b.from.Tells && (b.told() || b.lone() || usual.value >= b.free[i]): // begun in a jam?
 			b.free[i] = min(usual.value, firstGuess*float64(b.profiles[i].Goal))
 		case b.from.Tells || usual.value < b.free[i]:
 			b.free[i] = usual.value
@@ -691,6 +848,10 @@
 	}
 }
 
+func (b *Balancer) isCold(h *host) bool {
+	return h.Started > 0 && b.now-h.Started < b.cold.WarmUp+b.cold.StartOff
+}
+
 // sentSince is how many hops were sent to it since then, as it was cold.
 func (h *host) sentSince(since time.Duration) int {
 	for len(h.sent) > 0 && h.sent[0] <= since {
@@ -786,6 +947,8 @@
 	most    int    // hops that it may have
 	weighs  int    // what a hop of it counts at its host: nothing while its body comes
 	over    bool   // beyond its tenant's share
+	tenant  int    // -1 where there is none
+	late    bool   // its client reads it slowly
 	done    bool   // it has its final answer, or its stream has begun
 }
 
@@ -816,6 +979,37 @@
 	then func() // what comes next where the hop has not answered
 }
 
+// settle ends a transaction's part here. One that any host answers with an error is not counted to its tenant's share: it is hardly
+// any work.
+func (b *Balancer) settle(t *tx) {
+	for i := range t.hops {
+		if !t.hops[i].over && !t.done && b.hops.CallOff {
+			b.out.CallOff(t.id, i)
+		}
+	}
+	if n := t.errors(); !t.done && t.tenant >= 0 && n > 0 && n == len(t.hops) {
+		b.admit.tenants[t.tenant].taken--
+		b.admit.tenants[t.tenant].tokens++
+	}
+	if t.late {
+		t.late = false
+		b.late--
+	}
+	if t.done = true; t.out == 0 {
+		delete(b.txs, t.id)
+	}
+}
+
+// errors is how many hosts have answered it with an error.
+func (t *tx) errors() (n int) {
+	for i := range t.hops {
+		if t.hops[i].over && t.hops[i].end == Error {
+			n++
+		}
+	}
+	return n
+}
+
 // reRun is how many hosts further a transaction may go that may have run: its group is all that it has.
 func (t *tx) reRun() int { return either(t.ran() != nil, len(t.hops), 0) }
 
