--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,7 +92,7 @@
 	feltFull    = 3.5                    // times the work that a full answer stands for
 	ownTimes    = 15.0                   // by which one with an own hop out is drawn less: it may be stuck
 	jamFor      = time.Second            // smoothing of what hops to a zone took, which is as quick as bursts
-	jamSmooth   = 0.25                   // of that, the least for an answer, where they are many
+	jamSmooth   = 0.1                    // of that, the least for an answer, where they are many
 	jamSwift    = 0.5                    // of that, the most, where they are few
 	jamDear     = 0.25                   // of that for profiles that earn more: hosts may see to them first
 	jamForget   = 5 * time.Second        // in which it goes to what it is at first
@@ -108,13 +108,13 @@
 	stopOnce    = 1.0                    // of what may not
 	coldPart    = 0.8                    // of a cold host's budget for it that it spends; a successor: the rest
 	heldSpare   = 0.5                    // of a core: what is held for each up to which a hop finds one free
-	heldFull    = 3.0                    // times the work that a hop takes: from there rolled back by chance
-	heldMost    = 5.0                    // from there always: hosts that hold more turn slow
-	heldCalm    = 1.0                    // held for each core up to which no zone is left
+	heldMost    = 3.0                    // held for each core over which hosts turn slow
+	heldShed    = 0.6                    // of that, and of what a goal bears: some are rolled back from there
+	heldAlways  = 0.85                   // all are from there
+	heldCalm    = 0.7                    // held for each core up to which no zone is left
 	leaveStep   = 0.1                    // of a zone's excess by which more of its traffic leaves with each list
 	leaveMost   = 0.9                    // of a zone's traffic that leaves it
 	modelStep   = 0.1                    // of the excess at hosts of a kind by which their weight falls, ditto
-	hostStep    = 0.02                   // the same of one host: what one holds now is mostly chance
 	weightBy    = 4.0                    // times the mean weight from which a draw takes a host at once
 	drawsMost   = 16                     // draws by weight before any host will do
 )
@@ -277,7 +277,7 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	b.heard(h, r.Load)
-	if b.blind() {
+	if b.byZone() {
 		b.feel(h, profile, r)
 	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
@@ -453,13 +453,13 @@
 	all := b.table.holds(listed)
 	for _, m := range b.table.models {
 		m.weight = either(m.weight == 0, math.Sqrt(m.size), m.weight)
-		m.weight = scaled(m.weight, modelStep*(all.value-m.rest.value)/(all.value+heldSpare))
+		by := modelStep * (all.value - m.rest.value) / (all.value + heldSpare)
+		m.weight = min(max(m.weight*math.Exp(by), weightStep), weightMost)
 	}
 	coming := max(1, b.rate.value*float64(b.place.Gateways)/max(1, all.n))
 	for _, g := range b.table.groups {
 		g.room, g.meets = 0, 0
 		for _, h := range g.hosts {
-			h.weight = scaled(h.weight, hostStep*(h.model.rest.value-h.rest)/(all.value+heldSpare))
 			h.lean = min(max(0, 1+2*(all.value-h.rest)/coming), 2)
 			g.room += h.lean
 			g.meets += h.lean * h.rest
@@ -470,8 +470,6 @@
 	own.leave = min(max(0, own.leave+leaveStep*(own.rest.value/calm-1)), leaveMost)
 }
 
-func scaled(weight, by float64) float64 { return min(max(weight*math.Exp(by), weightStep), weightMost) }
-
 // chooseEven takes the own zone but for the part that leaves it: that goes where there is room.
 func (b *Balancer) chooseEven(t *tx) *host {
 	first, sum := t.home, 0.0
@@ -519,10 +517,8 @@
 // weight is a host's in such a draw. Where nothing tells of hosts it goes by what own hops took there lately,
 // and whether one is out: of many gateways each meets a host so seldom that it should have ended.
 func (b *Balancer) weight(h *host) float64 {
-	if b.sized() {
-		return h.lean * h.weight * h.model.weight
-	}
-	return weightBy / math.Pow(max(1, b.feltAt(h)), feltPower) / (1 + ownTimes*float64(h.own))
+	w := either(b.sized(), h.lean*h.weight*h.model.weight, weightBy/math.Pow(max(1, b.feltAt(h)), feltPower))
+	return w / (1 + ownTimes*float64(h.own))
 }
 
 // trusts tells whether no breaker bars a host, or lets it be tried. A trial must not cost a transaction that
@@ -543,13 +539,8 @@
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
-	// Where unserved shares count by tenfold steps a rollback is as bad as a late answer: none before the goal.
-	part := either(b.price.Misses, admitTail, either(b.price.Nines > 0, 1, admitMost))
 	crowd := either(b.told(), crowdTold, crowdMost)
-	bears := func(i int) float64 { // times the work
-		p := &b.profiles[i]
-		return min((part+p.LateRevenue/2)*float64(p.Goal), crowd*b.free[i]) / b.work[i].value
-	}
+	bears := func(i int) float64 { return min(b.bears(i), crowd*b.free[i]) / b.work[i].value } // times the work
 	most := bears(profile)
 	for i := range b.profiles {
 		if !b.profiles[i].Dropped && b.earns(i) > yieldFrom*b.earns(profile) {
@@ -559,6 +550,13 @@
 	return most * b.work[profile].value
 }
 
+// bears is the time up to which an answer is worth its hop. Where unserved shares count by tenfold steps a
+// rollback is as bad as a late answer: none before the goal.
+func (b *Balancer) bears(i int) float64 {
+	part := either(b.price.Misses, admitTail, either(b.price.Nines > 0, 1, admitMost))
+	return (part + b.profiles[i].LateRevenue/2) * float64(b.profiles[i].Goal)
+}
+
 // earns is what a profile earns for the same work.
 func (b *Balancer) earns(i int) float64 {
 	return b.profiles[i].Revenue / either(b.price.ByWork, 1, b.work[i].value)
@@ -634,14 +632,16 @@
 // jammed tells by chance whether a transaction is rolled back for what hops take in a zone. What is known of
 // another is little and old: a jam of the own one counts there too, or all would try the others by turns.
 func (b *Balancer) jammed(t *tx, g *group) bool {
-	if b.sized() {
-		return b.full(g.meets+heldSpare, heldFull, heldMost)
+	jam := max(b.jam(g, t.profile), b.jam(t.home, t.profile))
+	if b.sized() { // answers tell of a jam soon, but of hosts that stand still alike; the list of all, and late
+		of := jam * b.free[t.profile] / b.bears(t.profile) * (g.meets + heldSpare) / heldMost
+		return b.full(math.Sqrt(of), heldShed, heldAlways)
 	}
-	return b.full(max(b.jam(g, t.profile), b.jam(t.home, t.profile)), jamShed, jamAlways)
+	return b.full(jam, jamShed, jamAlways)
 }
 
-// bears is for how long a hop is let be: the less, the more a zone is jammed. What waits turns hosts slow.
-func (b *Balancer) bears(t *tx, g *group) time.Duration {
+// lets is for how long a hop is let be: the less, the more a zone is jammed. What waits turns hosts slow.
+func (b *Balancer) lets(t *tx, g *group) time.Duration {
 	least := either(t.prof.Effect == Idempotent, stopAgain, stopOnce)
 	jam := min(max(0, (b.jam(g, t.profile)-stopFrom)/(stopTo-stopFrom)), 1)
 	return time.Duration((stopGoal + (least-stopGoal)*jam) * float64(t.prof.Goal))
@@ -680,7 +680,7 @@
 	}})
 	b.out.Hop(t.id, h.ID, wait)
 	if b.blind() && b.hops.CallOff {
-		b.at(b.now+b.bears(t, h.group), func() { b.giveUp(t, len(t.hops)-1) })
+		b.at(b.now+b.lets(t, h.group), func() { b.giveUp(t, len(t.hops)-1) })
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -821,7 +821,7 @@
 
 // Where the list tells all gateways alike what hosts hold, some time ago, none takes the least loaded ones alone: they would be
 // buried by turns. What is told is evened out; a kind that holds more goes on getting less, and a zone that holds more than all do
-// sends part of its traffic away. Where hosts that hops go to hold five for each core, nothing more is taken.
+// sends part of its traffic away. Where hosts that hops go to hold much and answers take long, too, nothing more is taken.
 func Example_liveSizes() {
 	sized := func(id logic.HostID, zone, kind string, size float64) logic.Host {
 		h := host(id, zone, 1)
@@ -834,6 +834,10 @@
 	id := 0
 	for _, held := range [][]float64{{0, 0, 0, 0}, {0, 0, 0, 0}, {4, 0, 0, 0}, {0, 0, 0, 0}, {3, 3, 3, 0}, {0, 0, 0, 0}, {5, 5, 5, 5}} {
 		s.hopsTo = map[logic.HostID]int{}
+		took := 5 * ms
+		if held[3] > 0 {
+			took = 350 * ms
+		}
 		for range 5 {
 			s.List(s.now, logic.Changes, []logic.Host{sized(1, "a", "fast", 2/(1+held[0])), sized(2, "a", "fast", 2/(1+held[1])),
 				sized(3, "a", "slow", 1/(1+held[2])), sized(4, "b", "slow", 1/(1+held[3]))})
@@ -841,7 +845,7 @@
 				id++
 				s.take(id, 0, -1)
 				s.wait(5 * ms)
-				s.end(id, 0, logic.Committed, 5*ms)
+				s.end(id, 0, logic.Committed, took)
 			}
 		}
 		fmt.Println("held for each core:", held, "hops of 100:", s.hopsTo)
@@ -849,11 +853,11 @@
 	// Output:
 	// held for each core: [0 0 0 0] hops of 100: map[1:35 2:32 3:33]
 	// held for each core: [0 0 0 0] hops of 100: map[1:31 2:44 3:25]
-	// held for each core: [4 0 0 0] hops of 100: map[1:28 2:37 3:27 4:8]
-	// held for each core: [0 0 0 0] hops of 100: map[1:25 2:31 3:44]
-	// held for each core: [3 3 3 0] hops of 100: map[1:19 2:22 3:29 4:5]
-	// held for each core: [0 0 0 0] hops of 100: map[1:18 2:30 3:52]
-	// held for each core: [5 5 5 5] hops of 100: map[]
+	// held for each core: [4 0 0 0] hops of 100: map[1:32 2:36 3:24 4:8]
+	// held for each core: [0 0 0 0] hops of 100: map[1:30 2:26 3:44]
+	// held for each core: [3 3 3 0] hops of 100: map[1:29 2:15 3:43 4:13]
+	// held for each core: [0 0 0 0] hops of 100: map[1:21 2:27 3:51 4:1]
+	// held for each core: [5 5 5 5] hops of 100: map[1:2 2:2 3:2]
 }
 
 // Where some transactions get an error at any host, no host is to blame: none is barred for a row of them, two hosts are believed,
@@ -943,19 +947,19 @@
 	// answers take 80ms second 0 hops: map[1:1 2:4 3:5]
 	// answers take 80ms second 1 hops: map[1:4 2:4 3:2]
 	// answers take 80ms second 2 hops: map[1:4 2:3 3:3]
-	// answers take 300ms second 0 hops: map[2:1 3:1]
-	// answers take 300ms second 1 hops: map[2:1]
+	// answers take 300ms second 0 hops: map[1:1 2:3 3:2]
+	// answers take 300ms second 1 hops: map[3:1]
 	// answers take 300ms second 2 hops: map[]
-	// answers take 80ms second 0 hops: map[1:1 3:2]
-	// answers take 80ms second 1 hops: map[1:3 3:7]
-	// answers take 80ms second 2 hops: map[1:5 3:5]
-	// 4395 log: last second: 2 rolled back on arrival
-	// 5395 log: last second: 9 rolled back on arrival
-	// 6395 log: last second: 10 rolled back on arrival
+	// answers take 80ms second 0 hops: map[]
+	// answers take 80ms second 1 hops: map[1:2 2:2]
+	// answers take 80ms second 2 hops: map[1:2 2:8]
+	// 5395 log: last second: 8 rolled back on arrival
+	// 6395 log: last second: 9 rolled back on arrival
 	// 7395 log: last second: 10 rolled back on arrival
-	// 8395 log: last second: 3 rolled back on arrival
-	// 10000 tx 1000 hop to 3 for 1000
-	// 10000 tx 1001 hop to 1 for 1000
+	// 8395 log: last second: 8 rolled back on arrival
+	// 9395 log: last second: 4 rolled back on arrival
+	// 10000 tx 1000 hop to 1 for 1000
+	// 10000 tx 1001 hop to 2 for 1000
 	// 10480 tx 1000 call off hop 0
 	// 10480 tx 1001 call off hop 0
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,12 +29,12 @@
 	due    dueTimes
 	chance chance
 
-	work    []average // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
-	slow    []average // the same over far more answers
-	free    []float64 // by profile: the least that has been of late, as when hosts are free
-	was     []float64 // by profile: answers counted in its time a second ago
-	further float64
-	late    int           // transactions past their goals
+	work    []average     // by profile: a hop's time on a host of pace 1 with a core free, nanoseconds
+	slow    []average     // the same over far more answers
+	free    []float64     // by profile: the least that has been of late, as when hosts are free
+	was     []float64     // by profile: answers counted in its time a second ago
+	further float64       // hops beyond the first that may be sent
+	late    int           // transactions whose clients read their answers slowly
 	errs    average       // share of errors at all hosts
 	mean    average       // time of the transactions taken, as of work
 	revenue average       // of the transactions taken
@@ -262,7 +262,11 @@
 func (b *Balancer) feel(h *host, profile int, r Result) {
 	times := float64(r.Took) / b.free[profile]
 	switch r.End {
-	case Committed, TimedOut, CalledOff:
+	case Committed:
+	case TimedOut, CalledOff:
+		if b.sized() {
+			return
+		}
 	case Full:
 		times = feltFull
 	default:
@@ -297,6 +301,9 @@
 	if profile < len(g.jams) {
 		v += (g.jams[profile].value - jamNone) * math.Exp(-float64(b.now-g.jams[profile].at)/float64(jamForget))
 	}
+	if b.sized() { // where hosts stand still what is out says nothing of the others, and the list tells of them
+		return v
+	}
 	more := 0.0
 	for _, t := range b.txs { // in any order: it is a sum
 		for i := range t.hops {
@@ -778,12 +785,12 @@
 		// taken is no jam, but what a profile takes.
 		b.free[i] *= 1 + either(b.blind() && b.jam(b.table.own(), i) >= jamAlways, riseInJam, freeRise)
 		usual, step := *w, workStep
-		if b.told() || b.lone() { // a few short answers are not the least time
+		if b.told() || b.lone() || b.sized() { // a few short answers are not the least time
 			usual, step = b.slow[i], slowStep
 		}
 		switch {
 		case usual.n == 0: // or what is never answered would yield to nothing, and all others to it
-		case usual.n*step < 1 && !b.from.Tells && (b.told() || b.lone() || usual.value >= b.free[i]): // begun in a jam?
+		case usual.n*step < 1 && !b.from.Tells && (b.told() || b.lone() || b.sized() || usual.value >= b.free[i]): // begun in a jam?
 			b.free[i] = min(usual.value, firstGuess*float64(b.profiles[i].Goal))
 		case b.from.Tells || usual.value < b.free[i]:
 			b.free[i] = usual.value
