--- a/logic/logic.go
+++ b/logic/logic.go
@@ -499,7 +499,7 @@
 	}
 	n := len(g.hosts)
 	at := b.chance.draw() * float64(n)
-	for i := range drawsMost + n {
+	for i := 0; i < drawsMost+n && n > 0; i++ {
 		h := g.hosts[(i+int(at))%n]
 		if i < drawsMost {
 			h = g.hosts[int(b.chance.draw()*float64(n))]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -942,6 +942,13 @@
 	s.take(1000, 0, -1)
 	s.take(1001, 0, -1)
 	s.wait(600 * ms)
+	s.end(1000, 0, logic.CalledOff, 480*ms)
+	s.end(1001, 0, logic.CalledOff, 480*ms)
+	s.wait(30 * time.Second)
+	s.List(s.now, logic.Whole, []logic.Host{host(4, "b", 1)}) // none is left in the own zone
+	s.take(1002, 0, -1)
+	s.List(s.now, logic.Whole, nil)
+	s.take(1003, 0, -1)
 	s.print()
 	// Output:
 	// answers take 80ms second 0 hops: map[1:1 2:4 3:5]
@@ -962,4 +969,10 @@
 	// 10000 tx 1001 hop to 2 for 1000
 	// 10480 tx 1000 call off hop 0
 	// 10480 tx 1001 call off hop 0
+	// 10600 tx 1000 hop to 3 for 400
+	// 10600 tx 1001 hop to 1 for 400
+	// 10800 tx 1000 call off hop 1
+	// 10800 tx 1001 call off hop 1
+	// 40600 tx 1002 rolled back, come back after 109
+	// 40600 tx 1003 rolled back, come back after 109
 }
