--- a/logic/logic.go
+++ b/logic/logic.go
@@ -107,6 +107,8 @@
 	stopAgain   = 0.5                    // the same in a jam, of what may run again: it waits behind all others
 	stopOnce    = 1.0                    // of what may not
 	coldPart    = 0.8                    // of a cold host's budget for it that it spends; a successor: the rest
+	coldSeen    = 0.5                    // of what warm hosts of a kind answer: for a cold one's budget
+	coldHeavy   = 8.0                    // part of a cold host's budget that one hop may be at the most
 	heldSpare   = 0.5                    // of a core: what is held for each up to which a hop finds one free
 	heldMost    = 3.0                    // held for each core over which hosts turn slow
 	heldShed    = 0.6                    // of that, and of what a goal bears: some are rolled back from there
@@ -122,6 +124,7 @@
 // periodic is the work of each second, as often as the decision record changes weights.
 func (b *Balancer) periodic() {
 	b.at(b.now+time.Second, b.periodic)
+	b.table.rates(b.isCold)
 	for _, h := range b.table.ready {
 		h.expire(b.now - staleAge)
 		if h.own > 0 || h.again { // said once more, as messages may be lost
@@ -197,24 +200,27 @@
 // coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm. Where zones
 // are judged few of many gateways may send it one hop in a window, by lot, whatever else befalls: as a third
 // of the hosts restarted at once all had turned to the cold ones, which hold little.
-func (b *Balancer) coldRoom(h *host) bool {
+func (b *Balancer) coldRoom(h *host, profile int) bool {
 	if !b.isCold(h) {
 		return true
 	}
 	age := max(0, b.now-h.Started-b.cold.StartOff)
 	warm := b.cold.From + (1-b.cold.From)*float64(age)/float64(b.cold.WarmUp)
-	work := either(b.byZone(), b.mean.value, b.work[0].value)
 	pace := either(h.model.pace.n == 0, 1, max(h.model.pace.value, paceLeast)) // of a kind never seen: the usual
+	work := either(b.byZone(), b.mean, b.work[0]).value
 	through := max(1, h.model.places.value) / (work * pace)
+	if b.byZone() { // what warm ones answer shows what they can do at the least
+		through = max(through, coldSeen*h.model.rate.value*float64(b.place.Gateways)/float64(time.Second))
+	}
 	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
-	share := part * warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
-	most := max(1, int(share))
+	budget := warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
+	share, sent := part*budget, h.sentSince(b.now-b.cold.TipAfter)
 	if b.byZone() {
 		lot := chance{b.chance.seed ^ uint32(h.ID), uint32(b.now / b.cold.TipAfter)}
-		most = int(share + lot.draw())
+		return b.work[profile].value*coldHeavy <= budget*work && sent < int(share+lot.draw())
 	}
-	return h.sentSince(b.now-b.cold.TipAfter) < most &&
-		(share >= 1 || b.place.Gateways <= fewGateways || b.byZone() || b.chance.draw() < warm)
+	return sent < max(1, int(share)) &&
+		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
 // Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
@@ -309,14 +315,14 @@
 	b.errs.add(errs, workStep)
 	usual, others := 0.0, 0.0
 	if bad {
-		others = b.table.errsElsewhere(h)
+		others = b.table.errsElsewhere(h, b.now-staleAge)
 		usual = b.errs.value + min(usualTimes*others, usualMost)
 	}
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, usual, others, b.now, b.chance.draw()) {
+		} else if c.note(bad, errs, usual, either(r.End == Error, others, 0), b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -411,7 +417,7 @@
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
-		if !t.fits(h, b.now) || !b.coldRoom(h) || !barred && b.silent(h) || b.unsure(h) ||
+		if !t.fits(h, b.now) || !b.coldRoom(h, t.profile) || !barred && b.silent(h) || b.unsure(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
 		}
@@ -446,9 +452,9 @@
 // Live sizes. One of many gateways that do not tell each other learns of hosts by the list, which says to all
 // what each held some second ago. All would take the same least loaded ones: it is evened out instead.
 
-// even has weights follow what hosts hold for each core: slowly and for good by what kinds and hosts hold
-// over the mean; until the next word by what evens out the difference with what comes in a second. New kinds
-// begin with the root of their size: lists say which is the faster, and too much of by how much.
+// even has weights follow what hosts hold for each core: slowly and for good by what kinds hold beside all;
+// until the next word by what evens out the difference with what comes in a second. New kinds begin with the
+// root of their size: lists say which is the faster, and too much of by how much.
 func (b *Balancer) even(listed []Host) {
 	all := b.table.holds(listed)
 	for _, m := range b.table.models {
@@ -472,6 +478,11 @@
 
 // chooseEven takes the own zone but for the part that leaves it: that goes where there is room.
 func (b *Balancer) chooseEven(t *tx) *host {
+	for _, h := range b.table.young { // who has a lot uses it, or they would stay cold
+		if b.isCold(h) && t.fits(h, b.now) && b.coldRoom(h, t.profile) && !b.silent(h) && b.trusts(h, t) {
+			return h
+		}
+	}
 	first, sum := t.home, 0.0
 	if b.chance.draw() < t.home.leave {
 		for _, g := range t.home.order[1:] {
@@ -492,11 +503,6 @@
 
 // drawEven picks by weight, and looks at few hosts only, however many there are.
 func (b *Balancer) drawEven(g *group, t *tx, barred bool) *host {
-	for _, h := range g.young {
-		if b.isCold(h) && t.fits(h, b.now) && b.coldRoom(h) && (barred || !b.silent(h) && b.trusts(h, t)) {
-			return h
-		}
-	}
 	n := len(g.hosts)
 	at := b.chance.draw() * float64(n)
 	for i := 0; i < drawsMost+n && n > 0; i++ {
@@ -507,7 +513,7 @@
 				continue
 			}
 		}
-		if t.fits(h, b.now) && b.coldRoom(h) && (barred || !b.silent(h) && b.trusts(h, t)) {
+		if t.fits(h, b.now) && b.coldRoom(h, t.profile) && (barred || !b.silent(h) && b.trusts(h, t)) {
 			return h
 		}
 	}
@@ -609,7 +615,7 @@
 func (b *Balancer) admitted(t *tx) *host {
 	if b.byZone() {
 		h := b.chooseEven(t)
-		return either(h != nil && b.jammed(t, h.group), nil, h)
+		return either(h != nil && !b.isCold(h) && b.jammed(t, h.group), nil, h)
 	}
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
@@ -680,14 +686,12 @@
 	}})
 	b.out.Hop(t.id, h.ID, wait)
 	if b.blind() && b.hops.CallOff {
-		b.at(b.now+b.lets(t, h.group), func() { b.giveUp(t, len(t.hops)-1) })
-	}
-}
-
-// giveUp calls a hop off that is out yet.
-func (b *Balancer) giveUp(t *tx, i int) {
-	if !t.done && !t.hops[i].over {
-		b.out.CallOff(t.id, i)
+		i := len(t.hops) - 1
+		b.at(b.now+b.lets(t, h.group), func() {
+			if !t.done && !t.hops[i].over {
+				b.out.CallOff(t.id, i)
+			}
+		})
 	}
 }
 
@@ -760,6 +764,7 @@
 	switch {
 	case r.End == Committed:
 		k.host.used, k.host.proving = now, false
+		k.host.model.done += either(b.isCold(k.host), 0.0, 1)
 	case k.idle > 0 && r.End == TimedOut && k.at >= b.still:
 		b.shaken = now
 		b.out.Release(k.host.ID)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -861,10 +861,14 @@
 }
 
 // Where some transactions get an error at any host, no host is to blame: none is barred for a row of them, two hosts are believed,
-// and they are not counted to their tenant's share. Half of the good ones were rolled back for it, and most of that tenant's.
+// and they are not counted to their tenant's share. Half of the good ones were rolled back for it, and most of that tenant's. Hosts of
+// zones that get no hops do not show what is usual: by them hosts were barred all the same, and the rest crowded one after the other.
 func Example_errorsOfTheirOwn() {
-	s := start([]logic.Profile{read}, []logic.Tenant{{Name: "x", Quota: 40}, {Name: "y", Quota: 40}},
-		host(1, "a", 1), host(2, "a", 1), host(3, "a", 1))
+	hosts := []logic.Host{host(1, "a", 1), host(2, "a", 1), host(3, "a", 1)}
+	for id := range 9 {
+		hosts = append(hosts, host(logic.HostID(10+id), "b", 1))
+	}
+	s := start([]logic.Profile{read}, []logic.Tenant{{Name: "x", Quota: 40}, {Name: "y", Quota: 40}}, hosts...)
 	s.quiet = true
 	good := 0
 	for id := range 600 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -175,7 +175,7 @@
 	case k.Host == 0:
 		b.shed++
 		b.finish(t)
-	case h != nil && t.fits(h, b.now) && b.coldRoom(h):
+	case h != nil && t.fits(h, b.now) && b.coldRoom(h, t.profile):
 		if !b.draws(h.group) { // else it knows better
 			h.hold(from, max(0, k.Hops-h.own), b.now)
 		}
@@ -496,6 +496,7 @@
 	byID   map[HostID]*host
 	models map[string]*model
 	ready  []*host  // by id
+	young  []*host  // those of which a start is known
 	groups []*group // the own one first
 	lost   int      // calls for the list lost in a row
 	ranks  uint32   // seed of the order in which this gateway takes hosts
@@ -527,15 +528,18 @@
 func (t *table) own() *group { return t.groups[0] }
 
 // errsElsewhere is the mean share of errors at the hosts that are not barred, but for one: that one's own say nothing of what
-// is usual.
-func (t *table) errsElsewhere(than *host) float64 {
-	var mean average
+// is usual. Where any told anything since then, only such hosts count: those that get no hops err on none.
+func (t *table) errsElsewhere(than *host, since time.Duration) float64 {
+	var mean, all average
 	for _, h := range t.ready {
 		if h != than && !h.whole.open {
-			mean.add(h.whole.share, 0)
+			all.add(h.whole.share, 0)
+			if h.waiting > max(0, since) {
+				mean.add(h.whole.share, 0)
+			}
 		}
 	}
-	return mean.value
+	return either(mean.n > 0, mean, all).value
 }
 
 // group is the one of that index among the zones, the own one where there is none.
@@ -611,11 +615,24 @@
 	return all
 }
 
+// rates takes in what a warm host of each kind did for this gateway within the last second.
+func (t *table) rates(cold func(*host) bool) {
+	for _, m := range t.models { // in any order: each is its own
+		if m.warm > 0 {
+			m.rate.add(m.done/m.warm, rateStep)
+		}
+		m.done, m.warm = 0, 0
+	}
+	for _, h := range t.ready {
+		h.model.warm += either(cold(h), 0.0, 1)
+	}
+}
+
 // arrange puts the hosts that are ready into their groups.
 func (t *table) arrange() {
-	t.ready = t.ready[:0]
+	t.ready, t.young = t.ready[:0], t.young[:0]
 	for _, g := range t.groups {
-		g.hosts, g.young = g.hosts[:0], g.young[:0]
+		g.hosts = g.hosts[:0]
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
 		h := t.byID[id]
@@ -627,7 +644,7 @@
 			h.group = t.groups[i]
 			t.ready, h.group.hosts = append(t.ready, h), append(h.group.hosts, h)
 			if h.Started > 0 {
-				h.group.young = append(h.group.young, h)
+				t.young = append(t.young, h)
 			}
 		} else if h.State == Gone && h.own == 0 {
 			delete(t.byID, id)
@@ -643,6 +660,9 @@
 	weight float64 // times that of each host, where the list tells what they hold
 	rest   average // held for each core there, ditto
 	size   float64 // the largest that the list has told of one: what one that holds nothing is
+	done   float64 // answers of warm hosts of this kind within the last second
+	warm   float64 // these hosts
+	rate   average // answers of each a second
 	places average // hops in work at a full host, where reports show it
 	usual  average // hops there, where hosts report these and utilisation
 	held   average // those up to the usual ones, when cores are free
