--- a/logic/logic.go
+++ b/logic/logic.go
@@ -111,8 +111,10 @@
 	coldHeavy   = 8.0                    // part of a cold host's budget that one hop may be at the most
 	heldSpare   = 0.5                    // of a core: what is held for each up to which a hop finds one free
 	heldMost    = 3.0                    // held for each core over which hosts turn slow
-	heldShed    = 0.6                    // of that, and of what a goal bears: some are rolled back from there
-	heldAlways  = 0.85                   // all are from there
+	heldShed    = 0.65                   // of that, and of what a goal bears: what is over is too much
+	pressedNow  = 2.0                    // of what is too much now that is rolled back
+	pressedStep = 0.5                    // the same that adds up in a second
+	pressedMost = 500 * time.Millisecond // of that for one transaction: none came for long
 	heldCalm    = 0.7                    // held for each core up to which no zone is left
 	leaveStep   = 0.1                    // of a zone's excess by which more of its traffic leaves with each list
 	leaveMost   = 0.9                    // of a zone's traffic that leaves it
@@ -191,12 +193,6 @@
 	}
 }
 
-// spread is a time by chance for a call of the list: in step all would be late together.
-func (b *Balancer) spread(usual time.Duration) time.Duration {
-	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
-	return time.Duration(b.chance.draw() * float64(all))
-}
-
 // coldRoom keeps an even share of a cold host's budget; under a hop, by chance, as it gets warm. Where zones
 // are judged few of many gateways may send it one hop in a window, by lot, whatever else befalls: as a third
 // of the hosts restarted at once all had turned to the cold ones, which hold little.
@@ -223,19 +219,6 @@
 		(share >= 1 || b.place.Gateways <= fewGateways || b.chance.draw() < warm)
 }
 
-// Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
-// draws for all, is asked for each transaction and told how hops ended. Unanswered, each draws by itself.
-
-// drawer draws for a zone; it is -1 where each gateway draws for itself.
-func (b *Balancer) drawer(g *group) int {
-	if !b.from.Tells || b.place.Gateways <= fewGateways {
-		return -1
-	}
-	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
-}
-
-func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
-
 // Health: breakers, latency and weight of a host.
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
@@ -641,11 +624,20 @@
 	jam := max(b.jam(g, t.profile), b.jam(t.home, t.profile))
 	if b.sized() { // answers tell of a jam soon, but of hosts that stand still alike; the list of all, and late
 		of := jam * b.free[t.profile] / b.bears(t.profile) * (g.meets + heldSpare) / heldMost
-		return b.full(math.Sqrt(of), heldShed, heldAlways)
+		return b.chance.draw() < b.pressed(g, math.Sqrt(of)-heldShed)
 	}
 	return b.full(jam, jamShed, jamAlways)
 }
 
+// pressed is the part of a zone's transactions that is rolled back. It adds up over time, as the list is late:
+// by what is too much now alone zones were closed and flooded by turns.
+func (b *Balancer) pressed(g *group, over float64) float64 {
+	passed := min(b.now-g.pressedAt, pressedMost)
+	g.pressed = min(max(0, g.pressed+pressedStep*min(over, 1)*passed.Seconds()), leaveMost)
+	g.pressedAt = b.now
+	return g.pressed + pressedNow*over
+}
+
 // lets is for how long a hop is let be: the less, the more a zone is jammed. What waits turns hosts slow.
 func (b *Balancer) lets(t *tx, g *group) time.Duration {
 	least := either(t.prof.Effect == Idempotent, stopAgain, stopOnce)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -851,13 +851,13 @@
 		fmt.Println("held for each core:", held, "hops of 100:", s.hopsTo)
 	}
 	// Output:
-	// held for each core: [0 0 0 0] hops of 100: map[1:35 2:32 3:33]
-	// held for each core: [0 0 0 0] hops of 100: map[1:31 2:44 3:25]
-	// held for each core: [4 0 0 0] hops of 100: map[1:32 2:36 3:24 4:8]
-	// held for each core: [0 0 0 0] hops of 100: map[1:30 2:26 3:44]
-	// held for each core: [3 3 3 0] hops of 100: map[1:29 2:15 3:43 4:13]
-	// held for each core: [0 0 0 0] hops of 100: map[1:21 2:27 3:51 4:1]
-	// held for each core: [5 5 5 5] hops of 100: map[1:2 2:2 3:2]
+	// held for each core: [0 0 0 0] hops of 100: map[1:39 2:32 3:29]
+	// held for each core: [0 0 0 0] hops of 100: map[1:36 2:43 3:21]
+	// held for each core: [4 0 0 0] hops of 100: map[1:26 2:32 3:27 4:15]
+	// held for each core: [0 0 0 0] hops of 100: map[1:28 2:28 3:42 4:2]
+	// held for each core: [3 3 3 0] hops of 100: map[1:30 2:16 3:45 4:9]
+	// held for each core: [0 0 0 0] hops of 100: map[1:30 2:26 3:42 4:2]
+	// held for each core: [5 5 5 5] hops of 100: map[1:3 2:5 3:3]
 }
 
 // Where some transactions get an error at any host, no host is to blame: none is barred for a row of them, two hosts are believed,
--- a/logic/state.go
+++ b/logic/state.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// Telling. Few gateways tell all others what they have out. One of many hardly meets a host twice: one a zone
+// draws for all, is asked for each transaction and told how hops ended. Unanswered, each draws by itself.
+
+// drawer draws for a zone; it is -1 where each gateway draws for itself.
+func (b *Balancer) drawer(g *group) int {
+	if !b.from.Tells || b.place.Gateways <= fewGateways {
+		return -1
+	}
+	return (g.index + g.skip*len(b.table.groups)) % b.place.Gateways
+}
+
+func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
+
 func (b *Balancer) ask(t *tx) {
 	b.asking = append(b.asking, t)
 	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
@@ -402,6 +415,12 @@
 	}
 }
 
+// spread is a time by chance for a call of the list: in step all would be late together.
+func (b *Balancer) spread(usual time.Duration) time.Duration {
+	all := min(max(usual, time.Duration(b.place.Gateways)*askEach), b.from.AskWithin/2)
+	return time.Duration(b.chance.draw() * float64(all))
+}
+
 func (b *Balancer) Probed(now time.Duration, id HostID, l Load) {
 	b.turn(now)
 	switch h := b.table.byID[id]; {
@@ -672,20 +691,22 @@
 
 // group is the hosts of one zone.
 type group struct {
-	zone   string
-	index  int // among the zones
-	hosts  []*host
-	young  []*host  // those of which a start is known
-	order  []*group // this one and then the others
-	queue  average  // hops waiting at a host here, where answers report it to one of many
-	rest   average  // hops of other gateways at a host here, where answers report what is held to one of many
-	jam    average  // what answers here take, crowds aside, of the least
-	leave  float64  // part of its traffic that goes to others, where the list tells what hosts hold
-	room   float64  // hosts here, those counted less that hold much, ditto
-	meets  float64  // held for each core at the hosts that hops go to, ditto
-	jams   []jam    // by profile, what hops take here, where nothing tells of hosts
-	skip   int      // those that drew here and were given up as silent
-	misses int      // answers in a row that did not come
+	zone      string
+	index     int // among the zones
+	hosts     []*host
+	young     []*host       // those of which a start is known
+	order     []*group      // this one and then the others
+	queue     average       // hops waiting at a host here, where answers report it to one of many
+	rest      average       // hops of other gateways at a host here, where answers report what is held to one of many
+	jam       average       // what answers here take, crowds aside, of the least
+	leave     float64       // part of its traffic that goes to others, where the list tells what hosts hold
+	room      float64       // hosts here, those counted less that hold much, ditto
+	meets     float64       // held for each core at the hosts that hops go to, ditto
+	jams      []jam         // by profile, what hops take here, where nothing tells of hosts
+	pressed   float64       // part of its transactions that is rolled back, where the list tells what hosts hold
+	pressedAt time.Duration // when that was last reckoned
+	skip      int           // those that drew here and were given up as silent
+	misses    int           // answers in a row that did not come
 }
 
 // missed goes on to the next drawer after so many answers in a row that did not come.
