--- a/logic/logic.go
+++ b/logic/logic.go
@@ -529,6 +529,9 @@
 // that earn far more for the same work.
 func (b *Balancer) patience(profile int) float64 {
 	crowd := either(b.told(), crowdTold, crowdMost)
+	if b.lone() { // each sees its own hops alone, and there are more at a host the more gateways a zone has
+		crowd = 1 + (crowdMost-1)/math.Sqrt(max(1, float64(b.place.Gateways)/float64(len(b.table.groups))))
+	}
 	bears := func(i int) float64 { return min(b.bears(i), crowd*b.free[i]) / b.work[i].value } // times the work
 	most := bears(profile)
 	for i := range b.profiles {
@@ -629,8 +632,8 @@
 	return b.full(jam, jamShed, jamAlways)
 }
 
-// pressed is the part of a zone's transactions that is rolled back. It adds up over time, as the list is late:
-// by what is too much now alone zones were closed and flooded by turns.
+// pressed is the part of a zone's transactions that is rolled back. It adds up over time, as the list is
+// late: by what is too much now alone zones were closed and flooded by turns.
 func (b *Balancer) pressed(g *group, over float64) float64 {
 	passed := min(b.now-g.pressedAt, pressedMost)
 	g.pressed = min(max(0, g.pressed+pressedStep*min(over, 1)*passed.Seconds()), leaveMost)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -980,3 +980,22 @@
 	// 40600 tx 1002 rolled back, come back after 109
 	// 40600 tx 1003 rolled back, come back after 109
 }
+
+// Few gateways that see their own hops alone bear the less crowd at a host the more of them a zone has: each that went by its own
+// count sent as much as one alone might, and hosts turned slow one after the other.
+func Example_unseenBeside() {
+	for _, gateways := range []int{2, 4, 16} {
+		s := startAmong(gateways, 1, logic.Sources{AskWithin: 10 * time.Second}, []logic.Profile{read}, nil, host(1, "a", 1))
+		s.answered(1, 20, 0)
+		before := s.hopsTo[1]
+		s.quiet = true
+		for id := range 9 {
+			s.take(100+id, 0, -1)
+		}
+		fmt.Println("gateways:", gateways, "hops out at the host:", s.hopsTo[1]-before)
+	}
+	// Output:
+	// gateways: 2 hops out at the host: 3
+	// gateways: 4 hops out at the host: 2
+	// gateways: 16 hops out at the host: 1
+}
