--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,16 +99,17 @@
 	jamNone     = 0.6                    // what it is then: the first guess of a profile's time is long
 	jamOut      = 0.7                    // of the excess of what is out yet that counts
 	jamAge      = 1.7                    // part of its time that a hop has out yet: few are over so late
-	jamShed     = 1.2                    // from there transactions are rolled back by chance
-	jamAlways   = 2.05                   // from there always
-	stopFrom    = 1.0                    // from there on hops are called off sooner than at stopGoal
-	stopTo      = 1.75                   // from there as early as they are at all
+	jamShed     = 1.05                   // from there transactions are rolled back by chance
+	jamAlways   = 1.8                    // from there always
+	stopFrom    = 0.9                    // from there on hops are called off sooner than at stopGoal
+	stopTo      = 1.55                   // from there as early as they are at all
 	stopGoal    = 1.2                    // of the goal, at which one is called off where there is no jam
 	stopAgain   = 0.5                    // the same in a jam, of what may run again: it waits behind all others
 	stopOnce    = 1.0                    // of what may not
 	coldPart    = 0.8                    // of a cold host's budget for it that it spends; a successor: the rest
-	coldSeen    = 0.5                    // of what warm hosts of a kind answer: for a cold one's budget
+	coldSeen    = 0.4                    // of what warm hosts of a kind answer: for a cold one's budget
 	coldHeavy   = 8.0                    // part of a cold host's budget that one hop may be at the most
+	keepLeast   = 5.0                    // hosts of a zone that a blind gateway keeps to, for one hop a second
 	heldSpare   = 0.5                    // of a core: what is held for each up to which a hop finds one free
 	heldMost    = 3.0                    // held for each core over which hosts turn slow
 	heldShed    = 0.65                   // of that, and of what a goal bears: what is over is too much
@@ -249,20 +250,6 @@
 	return out > 0 && h.lat.n > 0 && float64(b.now-h.waiting) > h.lat.value*(1+silentRuns/float64(out))
 }
 
-// freshen probes a host in reach that has not told lately what it holds: answers are few, or late in a jam.
-func (b *Balancer) freshen() {
-	b.probes = min(b.probes+probeEach, probeMost)
-	for _, g := range b.table.groups {
-		for _, h := range g.hosts[:min(b.reach(), len(g.hosts))] {
-			if b.probes >= 1 && !b.isCold(h) && b.now-max(h.restAt, h.probed) > probeAge {
-				h.probed = b.now
-				b.probes--
-				b.out.Probe(h.ID)
-			}
-		}
-	}
-}
-
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	b.heard(h, r.Load)
@@ -487,6 +474,9 @@
 // drawEven picks by weight, and looks at few hosts only, however many there are.
 func (b *Balancer) drawEven(g *group, t *tx, barred bool) *host {
 	n := len(g.hosts)
+	if b.blind() { // it learns more of few, and keeps connections open
+		n = min(n, int(keepLeast*max(b.rate.value, 1))+len(t.hops))
+	}
 	at := b.chance.draw() * float64(n)
 	for i := 0; i < drawsMost+n && n > 0; i++ {
 		h := g.hosts[(i+int(at))%n]
@@ -626,7 +616,7 @@
 func (b *Balancer) jammed(t *tx, g *group) bool {
 	jam := max(b.jam(g, t.profile), b.jam(t.home, t.profile))
 	if b.sized() { // answers tell of a jam soon, but of hosts that stand still alike; the list of all, and late
-		of := jam * b.free[t.profile] / b.bears(t.profile) * (g.meets + heldSpare) / heldMost
+		of := jam * b.usually(t.profile) / b.bears(t.profile) * (g.meets + heldSpare) / heldMost
 		return b.chance.draw() < b.pressed(g, math.Sqrt(of)-heldShed)
 	}
 	return b.full(jam, jamShed, jamAlways)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -948,6 +948,9 @@
 	s.wait(600 * ms)
 	s.end(1000, 0, logic.CalledOff, 480*ms)
 	s.end(1001, 0, logic.CalledOff, 480*ms)
+	s.wait(time.Second)
+	s.end(1000, 1, logic.CalledOff, 200*ms)
+	s.end(1001, 1, logic.CalledOff, 200*ms)
 	s.wait(30 * time.Second)
 	s.List(s.now, logic.Whole, []logic.Host{host(4, "b", 1)}) // none is left in the own zone
 	s.take(1002, 0, -1)
@@ -955,30 +958,32 @@
 	s.take(1003, 0, -1)
 	s.print()
 	// Output:
-	// answers take 80ms second 0 hops: map[1:1 2:4 3:5]
-	// answers take 80ms second 1 hops: map[1:4 2:4 3:2]
-	// answers take 80ms second 2 hops: map[1:4 2:3 3:3]
-	// answers take 300ms second 0 hops: map[1:1 2:3 3:2]
-	// answers take 300ms second 1 hops: map[3:1]
+	// answers take 80ms second 0 hops: map[1:5 2:4 3:1]
+	// answers take 80ms second 1 hops: map[1:2 2:4 3:4]
+	// answers take 80ms second 2 hops: map[1:3 2:3 3:4]
+	// answers take 300ms second 0 hops: map[1:2 2:2 3:2]
+	// answers take 300ms second 1 hops: map[1:1]
 	// answers take 300ms second 2 hops: map[]
 	// answers take 80ms second 0 hops: map[]
-	// answers take 80ms second 1 hops: map[1:2 2:2]
-	// answers take 80ms second 2 hops: map[1:2 2:8]
-	// 5395 log: last second: 8 rolled back on arrival
-	// 6395 log: last second: 9 rolled back on arrival
+	// answers take 80ms second 1 hops: map[2:1 3:2]
+	// answers take 80ms second 2 hops: map[2:6 3:3]
+	// 5395 log: last second: 7 rolled back on arrival
+	// 6395 log: last second: 10 rolled back on arrival
 	// 7395 log: last second: 10 rolled back on arrival
-	// 8395 log: last second: 8 rolled back on arrival
-	// 9395 log: last second: 4 rolled back on arrival
-	// 10000 tx 1000 hop to 1 for 1000
+	// 8395 log: last second: 9 rolled back on arrival
+	// 9395 log: last second: 5 rolled back on arrival
+	// 10000 tx 1000 hop to 3 for 1000
 	// 10000 tx 1001 hop to 2 for 1000
-	// 10480 tx 1000 call off hop 0
-	// 10480 tx 1001 call off hop 0
-	// 10600 tx 1000 hop to 3 for 400
+	// 10456 tx 1000 call off hop 0
+	// 10456 tx 1001 call off hop 0
+	// 10600 tx 1000 hop to 1 for 400
 	// 10600 tx 1001 hop to 1 for 400
 	// 10800 tx 1000 call off hop 1
 	// 10800 tx 1001 call off hop 1
-	// 40600 tx 1002 rolled back, come back after 109
-	// 40600 tx 1003 rolled back, come back after 109
+	// 11600 tx 1000 rolled back, come back after 122
+	// 11600 tx 1001 rolled back, come back after 122
+	// 41600 tx 1002 hop to 4 for 1000
+	// 41600 tx 1003 rolled back, come back after 122
 }
 
 // Few gateways that see their own hops alone bear the less crowd at a host the more of them a zone has: each that went by its own
@@ -999,3 +1004,40 @@
 	// gateways: 4 hops out at the host: 2
 	// gateways: 16 hops out at the host: 1
 }
+
+// Such a gateway keeps to few hosts of its zone, others of their own to each, and learns of them; one that makes no connection is left
+// to others for a while. With any of a hundred, each hop needed a new connection, and as these failed a quarter of all hops did.
+func Example_blindKeepsToFew() {
+	var hosts []logic.Host
+	for id := range 100 {
+		hosts = append(hosts, host(logic.HostID(id+1), "a", 1))
+	}
+	all := map[logic.HostID]bool{}
+	for me := range 3 {
+		s := startAmong(400, me, logic.Sources{AskWithin: 10 * time.Second}, []logic.Profile{read}, nil, hosts...)
+		s.quiet = true
+		down := logic.HostID(0)
+		for id := range 40 {
+			s.take(id, 0, -1)
+			if down == 0 {
+				down = s.last
+			}
+			for k := 0; s.last == down && k < 2; k++ {
+				s.end(id, k, logic.NoConnection, 100*ms)
+			}
+			s.end(id, 0, logic.Committed, 80*ms)
+			s.end(id, 1, logic.Committed, 80*ms)
+			s.wait(time.Second)
+		}
+		for h := range s.hopsTo {
+			all[h] = true
+		}
+		fmt.Println("gateway", me, "hosts:", len(s.hopsTo), "hops of 40 to the one that is down:", s.hopsTo[down])
+	}
+	fmt.Println("hosts of the three:", len(all))
+	// Output:
+	// gateway 0 hosts: 6 hops of 40 to the one that is down: 4
+	// gateway 1 hosts: 6 hops of 40 to the one that is down: 3
+	// gateway 2 hosts: 5 hops of 40 to the one that is down: 3
+	// hosts of the three: 14
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,7 +62,7 @@
 		free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
 		errs:  average{n: 1 / workStep}, // none at first
 		table: table{byID: map[HostID]*host{}, models: map[string]*model{}}}
-	if price.Connections {
+	if price.Connections || b.blind() { // those that it keeps to are its own: all gateways' alike would be crowded
 		b.table.ranks = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(place.Me))) | 1
 	}
 	b.table.addGroups(place)
@@ -273,20 +273,23 @@
 // feel takes in what a hop took, of what it takes at a free host. What a profile feels those that earn less feel alike; of those that
 // earn more it says less, as hosts may see to them first.
 func (b *Balancer) feel(h *host, profile int, r Result) {
-	times := float64(r.Took) / b.free[profile]
+	times := float64(r.Took) / b.usually(profile)
 	switch r.End {
 	case Committed:
 	case TimedOut, CalledOff:
 		if b.sized() {
 			return
 		}
-	case Full:
+	case Full, NoConnection:
 		times = feltFull
 	default:
 		return
 	}
 	h.felt = b.feltAt(h)
 	h.felt, h.feltSince = h.felt+feltStep*(times-h.felt), b.now
+	if r.End == NoConnection { // it says nothing of hops that have one
+		return
+	}
 	g := h.group
 	for len(g.jams) < len(b.profiles) {
 		g.jams = append(g.jams, jam{value: jamNone})
@@ -303,6 +306,11 @@
 	}
 }
 
+// usually is the time that jams are reckoned by: the first guess, a part of the goal, where a profile takes less.
+func (b *Balancer) usually(profile int) float64 {
+	return max(b.free[profile], firstGuess*float64(b.profiles[profile].Goal))
+}
+
 // feltAt is what hops took at a host of late: one that answers nothing more is forgotten.
 func (b *Balancer) feltAt(h *host) float64 {
 	return 1 + (h.felt-1)*math.Exp(-float64(b.now-h.feltSince)/float64(feltFor))
@@ -321,7 +329,7 @@
 	for _, t := range b.txs { // in any order: it is a sum
 		for i := range t.hops {
 			k := &t.hops[i]
-			age := float64(b.now-k.at) / b.free[t.profile] / jamAge
+			age := float64(b.now-k.at) / b.usually(t.profile) / jamAge
 			if !k.over && k.host.group == g && age > v && b.earns(t.profile) >= b.earns(profile) {
 				more += jamOut * (age - v)
 			}
@@ -338,6 +346,20 @@
 	return (g.rest.value + 1) / g.hosts[0].model.knee()
 }
 
+// freshen probes a host in reach that has not told lately what it holds: answers are few, or late in a jam.
+func (b *Balancer) freshen() {
+	b.probes = min(b.probes+probeEach, probeMost)
+	for _, g := range b.table.groups {
+		for _, h := range g.hosts[:min(b.reach(), len(g.hosts))] {
+			if b.probes >= 1 && !b.isCold(h) && b.now-max(h.restAt, h.probed) > probeAge {
+				h.probed = b.now
+				b.probes--
+				b.out.Probe(h.ID)
+			}
+		}
+	}
+}
+
 // heard takes a report; to one of many it speaks for the zone.
 func (b *Balancer) heard(h *host, l Load) {
 	calm := h.busyAt > 0 && b.now-h.busyAt < staleAge && math.Abs(l.Busy-h.busy) < kneeCalm
