--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -42,6 +42,7 @@
 		MaxRetryAfter  int64 `json:"maxRetryAfter"`
 		ConnIdle       int64 `json:"connIdle"`
 		ConnectTimeout int64 `json:"connectTimeout"`
+		ResponseRoom   *int  `json:"responseRoom"`
 	} `json:"limits"`
 	Discovery   string `json:"discovery"`
 	Obligations struct {
@@ -50,6 +51,10 @@
 		FallMultiple float64 `json:"fallMultiple"`
 		TipAfter     int64   `json:"tipAfter"`
 		WarmUp       int64   `json:"warmUp"`
+		CloseWithin  *int64  `json:"closeOnDrainWithin"`
+		BudgetError  *int64  `json:"budgetError"`
+		StartError   *int64  `json:"startError"`
+		OnlyDrains   *bool   `json:"onlyDrainingBinds"`
 	} `json:"obligations"`
 	Blend struct {
 		Tail         float64 `json:"tail"`
@@ -65,6 +70,7 @@
 		Fields []string `json:"fields"`
 	} `json:"report"`
 	RevenueBy string `json:"revenueBy"`
+	Weights   string `json:"weights"`
 	Specifics struct {
 		WarmKeys bool `json:"warmKeys"`
 	} `json:"specifics"`
@@ -74,6 +80,9 @@
 	"idempotent": logic.Idempotent, "deduplicated": logic.Journalled, "at_most_once": logic.NonIdempotent,
 }
 
+// sizes is what a list's figure for a host stands for; where the settings say nothing of it, nothing is read from it.
+var sizes = map[string]logic.Sizes{"nominal": logic.Nominal, "rough": logic.Nominal, "live": logic.LiveSizes}
+
 var reaches = map[string]logic.Reach{"all": logic.AllHosts, "zone": logic.SameZone, "cell": logic.SameCell}
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
@@ -108,6 +117,7 @@
 	longest  time.Duration
 	tenants  []logic.Tenant
 	cold     logic.ColdRule
+	drains   logic.DrainRule
 	hops     logic.HopRule
 	from     logic.Sources
 	price    logic.Price
@@ -141,10 +151,36 @@
 	r.price.Connections, r.price.Misses = o.Prices.Connection > 0, o.Blend.Tail > 0
 	r.cold = logic.ColdRule{From: o.Obligations.ColdFrom, WarmUp: micros(o.Obligations.WarmUp),
 		Multiple: o.Obligations.FallMultiple, TipAfter: micros(o.Obligations.TipAfter)}
+	closeWithin := time.Duration(0)
+	for _, optional := range []struct {
+		key   string
+		given *int64
+		to    *time.Duration
+	}{
+		{"closeOnDrainWithin", o.Obligations.CloseWithin, &closeWithin},
+		{"budgetError", o.Obligations.BudgetError, &r.hops.BudgetOff},
+		{"startError", o.Obligations.StartError, &r.cold.StartOff},
+	} {
+		if optional.given == nil {
+			continue
+		}
+		if *optional.given < 0 || *optional.given > longestMost.Microseconds() {
+			return r, fmt.Errorf("settings: obligations.%s: %d", optional.key, *optional.given)
+		}
+		*optional.to = micros(*optional.given)
+	}
+	r.drains.Closes = closeWithin > 0
+	r.drains.OnlyDrains = o.Obligations.OnlyDrains != nil && *o.Obligations.OnlyDrains
+	if room := o.Limits.ResponseRoom; room != nil {
+		if r.hops.Room = *room; r.hops.Room < 1 {
+			return r, fmt.Errorf("settings: limits.responseRoom: %d", r.hops.Room)
+		}
+	}
 	r.from = logic.Sources{Probes: o.Report.Via == "probe" && o.Limits.Probes, Tells: o.Limits.MayTell,
 		Held: o.Report.Via == "answers" && slices.Contains(o.Report.Fields, "rif") &&
 			slices.Contains(o.Report.Fields, "busy"),
 		MayProbe:  o.Report.Via == "answers" && o.Limits.Probes,
+		Sizes:     sizes[o.Weights],
 		AskWithin: ask}
 	if o.Discovery == "subscribe" {
 		r.from.AskWithin = micros(o.Obligations.AskWithin)
@@ -170,7 +206,7 @@
 	in.start = func(out logic.Doer, now time.Duration, seed uint64, beside time.Duration) logic.Gateway {
 		cold := r.cold
 		cold.Beside = beside
-		return logic.New(out, now, seed, in.place, in.known, r.tenants, cold, r.hops, r.from, r.price)
+		return logic.New(out, now, seed, in.place, in.known, r.tenants, cold, r.drains, r.hops, r.from, r.price)
 	}
 	return in, nil
 }
--- a/internal/given/retune.go
+++ b/internal/given/retune.go
@@ -166,7 +166,7 @@
 func (o *Opened) Retune(now time.Duration, to *Retuning) {
 	r := &to.rules
 	o.inForce(now, r)
-	o.Gateway.Retune(now, o.known, r.tenants, r.cold, r.hops, r.from, r.price)
+	o.Gateway.Retune(now, o.known, r.tenants, r.cold, r.drains, r.hops, r.from, r.price)
 }
 
 // inForce gives places to profiles. One never comes to mean another name or effect: open transactions, and what was learnt, go by
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -18,13 +18,14 @@
 
 // Entry is a host of the list.
 type Entry struct {
-	UID      string `json:"uid"`
-	Endpoint string `json:"endpoint"`
-	Zone     string `json:"az"`
-	Model    string `json:"model"`
-	Cell     int    `json:"pod_group"`
-	State    string `json:"state"`
-	BootMS   int64  `json:"boot_ms"`
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Size     float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
 }
 
 var states = map[string]logic.HostState{
@@ -48,7 +49,7 @@
 // Host is the entry as the module takes it; since is the time of a start on the module's clock.
 func (e *Entry) Host(id logic.HostID, since func(bootMS int64) time.Duration) logic.Host {
 	return logic.Host{ID: id, Zone: e.Zone, Kind: e.Model, Cell: e.Cell, State: states[e.State],
-		Started: since(e.BootMS)}
+		Size: e.Size, Started: since(e.BootMS)}
 }
 
 // What the calls without a transaction ask for.
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -206,8 +206,10 @@
 		Done: func(how transport.How) {
 			if how == transport.Answered && reported {
 				d.Book.Probed.Add(1)
-				d.decide(func(now time.Duration) { d.opened.Probed(now, host, load) })
+			} else {
+				load = logic.NoLoad
 			}
+			d.decide(func(now time.Duration) { d.opened.Probed(now, host, load) })
 		},
 	})
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -20,6 +20,7 @@
 	from     Sources
 	price    Price
 	cold     ColdRule
+	drains   DrainRule
 	table    table
 	admit    admission
 	txs      map[TxID]*tx
@@ -50,9 +51,9 @@
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
 func New(out Doer, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
-	cold ColdRule, hops HopRule, from Sources, price Price) *Balancer {
+	cold ColdRule, drains DrainRule, hops HopRule, from Sources, price Price) *Balancer {
 	b := &Balancer{out: out, now: now, place: place, profiles: profiles, hops: hops, from: from, price: price,
-		cold:   cold,
+		cold: cold, drains: drains,
 		chance: chance{seed: crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(nil, seed))}, txs: map[TxID]*tx{},
 		work: make([]average, len(profiles)), slow: make([]average, len(profiles)),
 		free: make([]float64, len(profiles)), was: make([]float64, len(profiles)),
@@ -78,7 +79,7 @@
 
 // Retune takes other rules. What is open holds the profile and the number of hops with which it was taken; a profile that is new
 // begins with what was learnt of the last one of its name.
-func (b *Balancer) Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, hops HopRule,
+func (b *Balancer) Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, drains DrainRule, hops HopRule,
 	from Sources, price Price) {
 	b.turn(now)
 	for i := len(b.profiles); i < len(profiles); i++ {
@@ -110,7 +111,7 @@
 		b.admit.tenants = append(b.admit.tenants, kept)
 	}
 	cold.Beside = b.cold.Beside
-	b.profiles, b.cold, b.hops, b.from, b.price = profiles, cold, hops, from, price
+	b.profiles, b.cold, b.drains, b.hops, b.from, b.price = profiles, cold, drains, hops, from, price
 }
 
 // unsaid has a host told of soon.
--- a/logic/types.go
+++ b/logic/types.go
@@ -25,12 +25,13 @@
 	Begun(now time.Duration, id TxID, hop int)
 	// Left reports that nobody waits for a transaction any more.
 	Left(now time.Duration, id TxID)
-	// Probed brings the load that a probed host reports.
+	// Probed brings the end of a probe: the load that the host reports, none where there is no answer.
 	Probed(now time.Duration, host HostID, l Load)
 	// Told brings what another gateway has told.
 	Told(now time.Duration, from int, held []Held)
 	// Retune brings other rules. Profiles keep their places, new ones come behind them; what is open keeps its own.
-	Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, hops HopRule, from Sources, price Price)
+	Retune(now time.Duration, profiles []Profile, tenants []Tenant, cold ColdRule, drains DrainRule, hops HopRule, from Sources,
+		price Price)
 	// Avoided tells how many hosts of the list get nothing new now; it changes nothing.
 	Avoided() int
 	// Timer reports that a timer set through Doer has fallen due.
@@ -94,13 +95,15 @@
 	Draining
 )
 
-// Host is an entry of the list. Started is zero for a host that has run for long.
+// Host is an entry of the list. Started is zero for a host that has run for long; Size is to be compared with other hosts' only,
+// and Sources.Sizes says what it stands for.
 type Host struct {
 	ID      HostID
 	Zone    string
 	Kind    string
 	Cell    int
 	State   HostState
+	Size    float64
 	Started time.Duration
 }
 
@@ -190,22 +193,41 @@
 	WarmUp   time.Duration // by when it is warm, at the latest
 	Multiple float64       // of its present capacity, which over TipAfter pushes it over
 	TipAfter time.Duration
+	StartOff time.Duration // by which the told time of a start may be off, in either direction
 	Beside   time.Duration // until when the process that this one replaces may spend of the budget too
 }
 
 // HopRule bounds what one transaction may use.
 type HopRule struct {
-	Most     int
-	CallOff  bool
-	BackMost time.Duration // the longest time to come back that clients keep to, 0 where they are told none
+	Most      int
+	CallOff   bool
+	BackMost  time.Duration // the longest time to come back that clients keep to, 0 where they are told none
+	BudgetOff time.Duration // by which the told budget of a transaction may be off, in either direction
+	Room      int           // answers that are held while their clients read them, 0 where nothing bounds them
 }
 
+// DrainRule says what holds beside the grace, in which this module never sends.
+type DrainRule struct {
+	Closes     bool // idle connections to a draining host are closed: at once, so within any time that is stated
+	OnlyDrains bool // a host that is merely gone, and never was told to drain, may be sent to
+}
+
+// Sizes says what the list's sizes stand for.
+type Sizes int
+
+const (
+	NoSizes   Sizes = iota
+	Nominal         // what the host can do, about
+	LiveSizes       // the same, over one more than it holds for each core, as of some time earlier
+)
+
 // Sources says what a gateway learns beside the outcomes of its own hops.
 type Sources struct {
-	Probes    bool          // hosts report their load when probed
-	Held      bool          // answers say what a host holds and how busy it is
-	MayProbe  bool          // hosts that report in answers may be probed besides
-	Tells     bool          // gateways tell each other what they have out
+	Probes    bool // hosts report their load when probed
+	Held      bool // answers say what a host holds and how busy it is
+	MayProbe  bool // hosts that report in answers may be probed besides
+	Tells     bool // gateways tell each other what they have out
+	Sizes     Sizes
 	AskWithin time.Duration // how long it may go without asking for the list, 0 where changes come by themselves
 }
 
