No end of a long answer goes with a draining host's socket, or with a process that ends

Ruled out: hand-over (all counts agree, each handed once and adopted once), framing by close and its reset (none of those lost was of that form), hops timed out (none with a head in hand), clients standing still. Cause: a draining host goes once it has written all, and its socket holds up to 3.3 MB; a probe of two sockets lost 2.5 of 3 MB to a reset, while what the near socket held could be read. Lines: hurries and readAhead (handover.go) bound by memory, pass dropping what was read as reading failed. Change: as the list says that a host drains its streams are woken and their sockets let take in 4 MB; what was read is passed on before an answer that broke off is broken off. Second cause, found by the new test with two processes: a stream that waits for its host never looked at whether its process ends, and was cut off with it; nudges reach hosts' sides too. Tests: ExampleDesk_stream_fromWhatDrains (before: 1.4 to 1.7 MB left in the host's socket, none whole), Example_streamsAtEveryStage (before: 9 of 11 cut off).

--- a/cmd/spanmux/daily_test.go
+++ b/cmd/spanmux/daily_test.go
@@ -545,3 +545,113 @@
 	// 503 Service Unavailable, 504 Gateway Timeout
 	// ended: <nil> before it is killed: true
 }
+
+// Long answers stand at every stage as their process is replaced, with hosts that go on only once that process is gone, killed as its time
+// ends where it has not ended by itself: all come whole, from the process that follows.
+func Example_streamsAtEveryStage() {
+	const long = 2 << 20
+	all := make([]byte, long)
+	for i := range all {
+		all[i] = byte(i >> 12)
+	}
+	sized, until := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", long), "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	chunks := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for sent := 0; sent < long; sent += 1 << 19 {
+		chunks += fmt.Sprintf("80000\r\n%s\r\n", all[sent:sent+1<<19])
+	}
+	chunks += "0\r\nTrailer: t\r\n\r\n"
+	stages := []struct {
+		what, text string
+		first      int // bytes that the host gives before the word to end
+	}{
+		{"no head yet", sized + string(all), 0},
+		{"within the head", sized + string(all), 20},
+		{"head only", sized + string(all), len(sized)},
+		{"middle", sized + string(all), long / 2},
+		{"last byte", sized + string(all), len(sized) + long - 1},
+		{"within a chunk", chunks, long / 2},
+		{"before the last chunk", chunks, len(chunks) - len("0\r\nTrailer: t\r\n\r\n")},
+		{"within the end", chunks, len(chunks) - 3},
+		{"no length, head only", until + string(all), len(until)},
+		{"no length, middle", until + string(all), long / 2},
+		{"no length, all but the end", until + string(all), len(until) + long},
+	}
+	begun, goOn, gone := make(chan bool), make(chan bool), make(chan bool)
+	at := listing(8, func(w http.ResponseWriter, r *http.Request) {
+		var stage int
+		fmt.Sscan(r.URL.RawQuery, &stage)
+		nc, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		s := stages[stage]
+		io.WriteString(nc, s.text[:s.first])
+		begun <- true
+		if stage < 2 { // where there is no head the process that has the transaction waits for it
+			<-goOn
+		} else {
+			<-gone
+		}
+		io.WriteString(nc, s.text[s.first:])
+	})
+	addr, socket, dir := shared()
+	defer os.RemoveAll(dir)
+	first, _ := gateway(socket, dir, 1, at, free())
+	second, door := (*exec.Cmd)(nil), ""
+	said := make([]chan string, len(stages))
+	ask := func(i int) {
+		said[i] = make(chan string, 1)
+		go func() {
+			nc, err := net.Dial("tcp", addr)
+			if err != nil {
+				panic(err)
+			}
+			defer nc.Close()
+			fmt.Fprintf(nc, "GET /read?%d HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: read\r\nX-Expires-In-Ms: 1900\r\n\r\n", i, i)
+			answer, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if err != nil {
+				said[i] <- fmt.Sprint("no answer: ", err)
+				return
+			}
+			body, err := io.ReadAll(answer.Body)
+			said[i] <- fmt.Sprint(answer.StatusCode, " whole: ", bytes.Equal(body, all), " ", err)
+		}()
+	}
+	for i := len(stages) - 1; i >= 0; i-- { // those without a head last: their time runs
+		if ask(i); i == 2 {
+			for range len(stages) - 2 {
+				<-begun
+			}
+			second, door = gateway(socket, dir, 2, at, free())
+		}
+		if i < 2 {
+			<-begun
+		}
+	}
+	first.Process.Signal(syscall.SIGTERM)
+	killed := time.AfterFunc(3700*time.Millisecond, func() { first.Process.Kill() })
+	time.Sleep(200 * time.Millisecond)
+	close(goOn)
+	first.Wait()
+	fmt.Println("killed:", !killed.Stop(), "second:", call("GET", door, "ready"))
+	close(gone)
+	for i, s := range stages {
+		fmt.Println(s.what+":", <-said[i])
+	}
+	second.Process.Signal(syscall.SIGTERM)
+	second.Wait()
+	// Output:
+	// killed: false second: yes
+	// no head yet: 200 whole: true <nil>
+	// within the head: 200 whole: true <nil>
+	// head only: 200 whole: true <nil>
+	// middle: 200 whole: true <nil>
+	// last byte: 200 whole: true <nil>
+	// within a chunk: 200 whole: true <nil>
+	// before the last chunk: 200 whole: true <nil>
+	// within the end: 200 whole: true <nil>
+	// no length, head only: 200 whole: true <nil>
+	// no length, middle: 200 whole: true <nil>
+	// no length, all but the end: 200 whole: true <nil>
+}
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -21,6 +21,7 @@
 	pieceBytes   = 16 << 10                // of what is streamed, at a time: one a connection, far under the memory for all
 	tailMost     = 256 << 10               // bytes of an answer that its host is let get rid of at once: as much as its socket may hold
 	goesMost     = 1 << 20                 // ditto where it drains: sockets grow their buffers to some megabytes, and memory bounds it
+	goesBuffer   = 4 << 20                 // of this machine's socket for such an answer: as much as hosts' sockets grow to; the system may allow less
 	holdWithin   = 50 * time.Millisecond   // for an answer that does not say its size to be whole, before it goes on as it comes: a short one is at once
 	upMost       = 64                      // hops of one transaction whose connections may come up: more than settings allow
 	hostSilent   = 10 * time.Second        // for the next piece of a streamed answer: one that gives none for so long is gone
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"time"
 
 	"spanmux/internal/protocol"
@@ -39,12 +40,13 @@
 	unsent  net.Buffers // goes first
 	ahead   []byte      // then this
 	held    int         // room taken for that
+	wide    bool        // the machine takes in much of what the host gives
 	wrote   time.Time   // when the client last took something
-	left    int         // bytes of the unsent by then
 	framing protocol.Framing
-	closing bool // the client's connection closes behind it
-	whole   bool // nothing else is to come on that before it
-	last    bool // all of it has been read
+	closing bool  // the client's connection closes behind it
+	whole   bool  // nothing else is to come on that before it
+	last    bool  // all of it has been read
+	broke   error // nothing more comes, though it is not whole
 }
 
 // pass passes on the rest of a streamed answer, piece by piece, after what is to be sent before it. Where this process ends and another
@@ -54,14 +56,12 @@
 	defer pieces.Put(piece)
 	defer d.letGo(f)
 	may := f.whole && d.shared // what still comes of the client's message is not handed over
-	if may {
-		d.passing(f.client, true)
-		defer d.passing(f.client, false)
-	}
+	d.passing(f, true)
+	defer d.passing(f, false)
+	f.wrote = time.Now()
 	for {
-		if may && d.closing.Load() {
+		if may && f.broke == nil && d.closing.Load() {
 			may = false
-			d.passing(f.client, false)
 			text, err := json.Marshal(note{f.trace, f.from, f.rest.State(), f.framing, f.closing, f.last})
 			unsent := append(bytes.Join(f.unsent, nil), f.ahead...)
 			if err == nil && transport.Hand(d.heir, text, unsent, f.client, f.host) {
@@ -69,20 +69,13 @@
 				return true, nil
 			}
 		}
-		hurries := !f.last && d.hurries(f)
-		if f.unsent, err = f.client.Piece(f.unsent, hurries); err == nil {
-			f.unsent, f.wrote = nil, time.Now()
-		}
-		switch {
-		case errors.Is(err, transport.ErrSlow) && may && d.closing.Load(): // nudged, as a rule
-			continue
-		case err != nil && !(hurries && errors.Is(err, transport.ErrSlow) && f.takes()):
+		hurries := !f.last && f.broke == nil && d.hurries(f)
+		// A nudge ends a piece too: this process ends, or hosts drain.
+		if err = f.write(hurries); err != nil && !(errors.Is(err, transport.ErrSlow) && time.Since(f.wrote) < clientSilent) {
 			return false, err
 		}
 		if hurries {
-			if err := d.readAhead(f); err != nil {
-				return false, err
-			}
+			f.broke = d.readAhead(f)
 		}
 		if len(f.unsent) > 0 {
 			continue
@@ -91,48 +84,60 @@
 		case len(f.ahead) > 0:
 			n := min(len(f.ahead), pieceBytes)
 			f.unsent, f.ahead = net.Buffers{f.ahead[:n]}, f.ahead[n:]
-		case f.last:
-			return false, nil
+		case f.last || f.broke != nil: // the client has all that the host gave
+			return false, f.broke
 		default:
-			if f.unsent, err = f.read(piece[:]); err != nil {
-				return false, err
-			}
+			f.unsent, f.broke = f.read(piece[:])
 		}
 	}
 }
 
-// read reads what comes next, as it is to be written.
+// read reads what comes next, as it is to be written; nothing where it is nudged meanwhile.
 func (f *flow) read(piece []byte) (net.Buffers, error) {
-	f.host.SetReadDeadline(time.Now().Add(hostSilent))
+	until := time.Now().Add(hostSilent)
+	f.host.SetReadDeadline(until)
 	n, err := f.rest.Read(piece)
-	f.last = errors.Is(err, io.EOF)
-	if err != nil && !f.last {
-		return nil, err
+	if f.last = errors.Is(err, io.EOF); f.last || errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until) {
+		err = nil
 	}
 	if n > 0 || f.last {
-		return f.framing.Piece(piece[:n], f.last), nil
+		return f.framing.Piece(piece[:n], f.last), err
 	}
-	return nil, nil
+	return nil, err
 }
 
 // hurries tells whether a host is let get rid of an answer faster than its client takes it. One that drains goes once it has written all, and
-// what its socket still holds then goes with it. Where the length is said that is near only towards the end, for one that drains a socket's
-// largest buffer before it.
+// what its own socket still holds then goes with it, megabytes at times. So as it drains this machine's socket takes in what that holds, which
+// outlives the host, and the end is read ahead besides. Where the length is said that is near only towards the end.
 func (d *Desk) hurries(f *flow) bool {
 	left, said := f.rest.Left()
-	return said && left <= tailMost || (!said || left <= goesMost) && d.goes(f.from)
+	if !d.goes(f.from) {
+		return said && left <= tailMost
+	}
+	if !f.wide {
+		f.wide = true
+		f.host.(*net.TCPConn).SetReadBuffer(goesBuffer) // fails for one that is closed, which shows when it is read
+	}
+	return !said || left <= goesMost
 }
 
-// takes tells whether the client goes on taking what is written.
-func (f *flow) takes() bool {
-	left := 0
-	for _, part := range f.unsent {
-		left += len(part)
+// write writes what is unsent, or part of it.
+func (f *flow) write(soon bool) (err error) {
+	had := size(f.unsent)
+	if f.unsent, err = f.client.Piece(f.unsent, soon); err == nil {
+		f.unsent = nil
 	}
-	if left != f.left {
-		f.left, f.wrote = left, time.Now()
+	if had == 0 || size(f.unsent) < had {
+		f.wrote = time.Now()
 	}
-	return time.Since(f.wrote) < clientSilent
+	return err
+}
+
+func size(parts net.Buffers) (n int) {
+	for _, part := range parts {
+		n += len(part)
+	}
+	return n
 }
 
 // readAhead takes in what a host gives. It waits for nothing. The room for it is its own: that for bodies is taken by clients that are slow
@@ -145,12 +150,12 @@
 	}
 	for !f.last && (f.rest.Buffered() || f.there()) && d.takeAhead(f) {
 		parts, err := f.read(piece[:])
-		if err != nil {
-			return err
-		}
 		for _, part := range parts {
 			f.ahead = append(f.ahead, part...)
 		}
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -194,23 +199,25 @@
 		"of all", said, "ahead", len(f.ahead), "drains", d.goes(f.from))
 }
 
-// passing notes whether a client has a streamed answer that may be handed over.
-func (d *Desk) passing(c *transport.Client, may bool) {
+// passing notes whether a streamed answer is under way.
+func (d *Desk) passing(f *flow, on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if may {
-		d.streams[c] = true
+	if on {
+		d.streams[f] = true
 	} else {
-		delete(d.streams, c)
+		delete(d.streams, f)
 	}
 }
 
-// nudge has streams whose clients read slowly look at whether they are to be handed over.
+// nudge has streams that wait for a client to read, or for a host to go on, look at whether they are to be handed over, or their hosts
+// drain. One that waited for its host ended with its process once.
 func (d *Desk) nudge() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c := range d.streams { // in any order: all are
-		c.Nudge()
+	for f := range d.streams { // in any order: all are
+		f.client.Nudge()
+		f.host.SetReadDeadline(time.Now())
 	}
 }
 
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -29,13 +29,13 @@
 	closing   atomic.Bool
 	ready     atomic.Bool
 	serving   atomic.Bool
-	listed    chan struct{}              // closed once a list is in hand
-	has       func()                     // says that one is
-	shared    bool                       // other processes may take clients off the same listener
-	alone     int                        // sockets for clients and hosts
-	beside    int                        // the same while another takes clients
-	streams   map[*transport.Client]bool // those that may be handed over; guarded by the lock
-	heir      string                     // where answers are handed over to the next process
+	listed    chan struct{}  // closed once a list is in hand
+	has       func()         // says that one is
+	shared    bool           // other processes may take clients off the same listener
+	alone     int            // sockets for clients and hosts
+	beside    int            // the same while another takes clients
+	streams   map[*flow]bool // answers under way; guarded by the lock
+	heir      string         // where answers are handed over to the next process
 	room      *transport.Room
 
 	mu      sync.Mutex
@@ -74,7 +74,7 @@
 	opened, err := given.Read(settings, askWithin)
 	d := &Desk{opened: opened, txs: map[logic.TxID]*tx{}, open: map[string]bool{}, list: newListing(),
 		tallies: map[string]*tally{}, listed: make(chan struct{}),
-		streams: map[*transport.Client]bool{}}
+		streams: map[*flow]bool{}}
 	d.has = sync.OnceFunc(func() { close(d.listed) })
 	if err == nil {
 		d.named()
--- a/internal/routing/stream_test.go
+++ b/internal/routing/stream_test.go
@@ -9,8 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"time"
+	"unsafe"
 
 	"spanmux/internal/protocol"
 )
@@ -274,3 +277,75 @@
 	// 200 0123456789abcdefvwxyz <nil> head at once: true longer than its time: true
 	// true <nil>
 }
+
+// held is how many bytes a host's socket holds that have not gone over to the other machine.
+func held(nc net.Conn) (n int32) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) {
+			syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+		})
+	}
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// A host that drains goes as soon as it has written all, and what its socket holds goes with it: a client that takes nothing
+// meanwhile had lost the end, or all that the host gave before it broke off. The host goes on once it is told that it drains, and
+// resets its connection once its socket holds nothing.
+func ExampleDesk_stream_fromWhatDrains() {
+	// What a machine takes in for a program is bounded by it. The whole is far over what comes along without being asked for, if it can be.
+	most, all := 0, 3*megabyte
+	if text, err := os.ReadFile("/proc/sys/net/core/rmem_max"); err == nil {
+		fmt.Sscan(string(text), &most)
+		all = min(all, most/2)
+	}
+	for _, form := range []string{"sized", "chunked", "broken off"} {
+		s := play()
+		began, drains, gone := make(chan bool), make(chan bool), make(chan string, 1)
+		host := s.scripted(func(nc net.Conn, head *http.Request) {
+			first, end := fmt.Sprintf("Content-Length: %d\r\n\r\n", all), ""
+			if form != "sized" {
+				first = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", all)
+			}
+			if form == "chunked" {
+				end = "\r\n0\r\n\r\n"
+			}
+			long := bytesOf(all)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s%s", first, long[:80_000])
+			close(began)
+			<-drains
+			nc.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			_, err := io.WriteString(nc, string(long[80_000:])+end)
+			for until := time.Now().Add(5 * time.Second); held(nc) > 0 && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+			gone <- fmt.Sprintf("host gave all: %v, its socket holds %d", err == nil, held(nc))
+			nc.(*net.TCPConn).SetLinger(0)
+			nc.Close()
+		})
+		s.takeList(s.list.line, 1, &protocol.List{Rev: 5, All: true, Targets: []protocol.Entry{host}})
+		c := s.dial()
+		c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		io.WriteString(c, text("read", "long", ""))
+		<-began
+		c.r.Peek(1)
+		host.State = "terminating"
+		s.takeList(s.list.line, 0, &protocol.List{Rev: 6, Targets: []protocol.Entry{host}})
+		close(drains)
+		fmt.Print(form, ": ", <-gone)
+		answer, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			panic(err)
+		}
+		n, err := io.Copy(io.Discard, answer.Body)
+		fmt.Println(", client has all:", n == int64(all), err)
+		c.Close()
+	}
+	// Output:
+	// sized: host gave all: true, its socket holds 0, client has all: true <nil>
+	// chunked: host gave all: true, its socket holds 0, client has all: true <nil>
+	// broken off: host gave all: true, its socket holds 0, client has all: true unexpected EOF
+}
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -115,6 +115,7 @@
 			return
 		}
 		var hosts []logic.Host
+		drains := false
 		was := d.list.targets()
 		if kind != logic.Changes {
 			d.list.addr, d.list.drains = map[logic.HostID]string{}, map[logic.HostID]bool{}
@@ -131,7 +132,7 @@
 				delete(d.list.addr, id)
 			}
 			if delete(d.list.drains, id); host.State == logic.Draining {
-				d.list.drains[id] = true
+				d.list.drains[id], drains = true, true
 			}
 			hosts = append(hosts, host)
 		}
@@ -152,6 +153,9 @@
 					d.pool.Close(to)
 				}
 			}
+			if drains { // what such hosts still give may be lost with them
+				d.nudge()
+			}
 			d.ready.Store(true)
 			if kind == logic.Cached { // it may be old: hosts in it may be long gone
 				time.AfterFunc(freshWithin, d.has)
