A process that replaces another begins with what that has learnt

Guess, measured first: a new process learns all anew and rolls back in its first seconds. Change: at its start it asks the process that listens where connections are handed over; the module writes (Learnt) and takes in (Learn) times of profiles, slots and paces of kinds, weights, paces, latencies and breakers of hosts, in ages. Own knowledge stays, hosts that have started since are new, what is said of hosts counts for 2 s; 200 ms are waited at most. Tests: Example_learnt, ExampleDesk_Succeed_learns (a process before that says nothing, nonsense, too much, or is silent).

--- a/internal/routing/daily_test.go
+++ b/internal/routing/daily_test.go
@@ -3,8 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
+
+	"spanmux/logic"
 )
 
 // Clients that are sent away lose nothing: what comes is answered and told to close, what is idle closes soon, and the gateway
@@ -81,3 +86,54 @@
 	// {"succeeded":{"order":0,"pay":2,"read":0},"declined":{"order":0,"pay":1,"read":0},"aborted":{"order":0,"pay":2,"read":1},"forwards":6,"outstanding":1,"discovered":2,"ejected":0,"sighup_applied":0,"sighup_rejected":0}
 	// {"succeeded":{"order":0,"pay":2,"read":0},"declined":{"order":0,"pay":1,"read":0},"aborted":{"order":0,"pay":2,"read":1},"forwards":6,"outstanding":0,"discovered":3,"ejected":0,"sighup_applied":0,"sighup_rejected":0}
 }
+
+// A process asks the one before it for what that has learnt, and begins with it; one that says nothing, or nonsense, leaves it to learn
+// by itself, and costs it no more than a moment.
+func ExampleDesk_Succeed_learns() {
+	dir, err := os.MkdirTemp("", "learns")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "heir")
+	begins := func(what string) {
+		s := play("one")
+		fmt.Println(what, s.Succeed(path))
+		s.decide(func(now time.Duration) {
+			s.opened.List(now, logic.Whole, []logic.Host{{ID: 1, Kind: "box", Zone: "a", State: logic.Ready}})
+			s.learn(now)
+			fmt.Println("profiles learnt:", len(s.opened.Learnt(now).Profiles))
+		})
+	}
+	begins("nobody before:")
+	before := play("one")
+	before.ask("read", "go")
+	fmt.Println("learns:", len(before.opened.Learnt(before.now()).Profiles), before.Succeed(path))
+	begins("one before:")
+	for what, says := range map[string]string{"says nothing": "", "nonsense": "\x01\x00\x00\x00\x05abcde", "too much": "\x01\xff\xff\xff\xff", "silent": "-"} {
+		os.Remove(path)
+		ln, err := net.Listen("unix", path)
+		if err != nil {
+			panic(err)
+		}
+		go func() {
+			nc, err := ln.Accept()
+			if err == nil && says != "-" {
+				io.WriteString(nc, says)
+				nc.Close()
+			}
+		}()
+		s, began := play("one"), time.Now()
+		err = s.Succeed(path)
+		if err != nil || !s.learnt.at.IsZero() || time.Since(began) > 2*time.Second {
+			fmt.Println(what, err, s.learnt.at, time.Since(began))
+		}
+		ln.Close()
+	}
+	// Output:
+	// nobody before: <nil>
+	// profiles learnt: 0
+	// learns: 1 <nil>
+	// one before: <nil>
+	// profiles learnt: 1
+}
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"spanmux/internal/must"
 	"spanmux/internal/protocol"
 	"spanmux/internal/transport"
 	"spanmux/logic"
@@ -26,6 +27,7 @@
 	Framing protocol.Framing
 	Closing bool
 	Last    bool // nothing follows what was read
+	Asks    bool // for what has been learnt; nothing is handed over
 }
 
 // flow is a streamed answer under way from its host to its client.
@@ -62,7 +64,7 @@
 	for {
 		if may && f.broke == nil && d.closing.Load() {
 			may = false
-			text, err := json.Marshal(note{f.trace, f.from, f.rest.State(), f.framing, f.closing, f.last})
+			text, err := json.Marshal(note{f.trace, f.from, f.rest.State(), f.framing, f.closing, f.last, false})
 			unsent := append(bytes.Join(f.unsent, nil), f.ahead...)
 			if err == nil && transport.Hand(d.heir, text, unsent, f.client, f.host) {
 				d.Book.Handed.Add(1)
@@ -222,7 +224,14 @@
 }
 
 // Succeed listens at a path for answers that the process before this one can't finish, and is where this one hands over its own.
+//
+// The process before is asked first for what it has learnt: one that begins by guesses rolls back what hosts could do.
 func (d *Desk) Succeed(path string) error {
+	text, err := json.Marshal(note{Asks: true})
+	must.Hold(err == nil, "a note can be written")
+	if said := transport.Ask(path, text); json.Unmarshal(said, &d.learnt.what) == nil {
+		d.learnt.at = time.Now()
+	}
 	s, err := transport.Succeed(path)
 	if err != nil {
 		return err
@@ -251,15 +260,18 @@
 }
 
 // adopt goes on with what was handed over: a message that is not whole, or an answer, and then its client.
-func (d *Desk) adopt(text, read []byte, conns []net.Conn) {
+func (d *Desk) adopt(text, read []byte, conns []net.Conn) (answer []byte) {
 	if len(text) == 0 && len(conns) == 1 {
 		d.Book.Adopted.Add(1)
 		d.front.AdoptHeard(conns[0], read, d.client)
-		return
+		return nil
 	}
 	var n note
 	var rest *protocol.Body
 	err := json.Unmarshal(text, &n)
+	if err == nil && n.Asks && len(conns) == 0 {
+		return d.learned()
+	}
 	if err == nil && len(conns) == 2 {
 		rest = n.Body.Resume(conns[1])
 	}
@@ -268,7 +280,7 @@
 		for _, nc := range conns {
 			nc.Close()
 		}
-		return
+		return nil
 	}
 	client, host := conns[0], conns[1]
 	d.Book.Adopted.Add(1)
@@ -292,4 +304,22 @@
 			d.client(c)
 		}
 	})
+	return nil
+}
+
+// learned is what this process has learnt, for the next.
+func (d *Desk) learned() []byte {
+	d.mu.Lock()
+	what := d.opened.Learnt(d.now())
+	d.mu.Unlock()
+	text, err := json.Marshal(what)
+	must.Hold(err == nil, "what was learnt can be written")
+	return text
+}
+
+// learn has the module take in what the process before had learnt, of the hosts that are known by now. Under the lock, within the module's turn.
+func (d *Desk) learn(now time.Duration) {
+	if !d.learnt.at.IsZero() {
+		d.opened.Learn(now, d.learnt.what, time.Since(d.learnt.at))
+	}
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -37,6 +37,10 @@
 	streams   map[*flow]bool // answers under way; guarded by the lock
 	heir      string         // where answers are handed over to the next process
 	room      *transport.Room
+	learnt    struct { // by the process before this one
+		what logic.Learnt
+		at   time.Time // when it said so, zero where it did not
+	}
 
 	mu      sync.Mutex
 	began   time.Time
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -164,6 +164,9 @@
 			}
 		})
 		d.opened.List(now, kind, hosts)
+		if kind != logic.Changes {
+			d.learn(now)
+		}
 	})
 }
 
--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -28,6 +28,7 @@
 	handFrom     = 10 * time.Millisecond   // after the word to end, where another process takes what comes at once
 	handTo       = 100 * time.Millisecond  // by when the last idle one is closed: a slow client may need seconds from its first byte on
 	handWithin   = time.Second             // for what is handed over to be taken: the other process is on this machine
+	askWithin    = 200 * time.Millisecond  // for what a process before has learnt: a start waits for it, and goes on without
 	takeWithin   = 5 * time.Second         // for all of it to come: the other process may get little of a core
 	handMost     = 3 << 20                 // bytes that are handed over at a time: the longest body that is held whole is most of it
 	lingerWithin = 500 * time.Millisecond  // for a client to read a last answer before its connection is closed
--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -34,8 +34,9 @@
 
 func (s *Succession) Close() { s.ln.Close() }
 
-// Serve takes what is handed over, until Close: a note that says what it is, and bytes that go with it. Each may wait for room.
-func (s *Succession) Serve(take func(note, bytes []byte, conns []net.Conn)) {
+// Serve takes what is handed over, until Close: a note that says what it is, and bytes that go with it. Each may wait for room. What is
+// given back is the answer to a process that asks.
+func (s *Succession) Serve(take func(note, bytes []byte, conns []net.Conn) []byte) {
 	for {
 		from, err := s.ln.AcceptUnix()
 		if errors.Is(err, net.ErrClosed) {
@@ -56,7 +57,11 @@
 				}
 				return
 			}
-			take(note, bytes, conns)
+			if answer := take(note, bytes, conns); answer != nil {
+				from.SetDeadline(time.Now().Add(handWithin))
+				parts := net.Buffers{binary.BigEndian.AppendUint32(nil, uint32(len(answer))), answer}
+				parts.WriteTo(from) // without it the other goes on as if it had not asked
+			}
 		}()
 	}
 }
@@ -103,6 +108,33 @@
 	return note, bytes, conns, err
 }
 
+// Ask asks the process that listens at the path, and gives back what it says; nil where there is none, or it has nothing to say.
+func Ask(path string, note []byte) []byte {
+	to, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil
+	}
+	defer to.Close()
+	to.SetDeadline(time.Now().Add(askWithin))
+	lengths := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, uint32(len(note))), 0)
+	if _, err := to.Write(append(lengths, note...)); err != nil {
+		return nil
+	}
+	head := make([]byte, 5) // the word that all has come, and the length
+	if _, err := io.ReadFull(to, head); err != nil {
+		return nil
+	}
+	long := binary.BigEndian.Uint32(head[1:])
+	if long > handMost {
+		return nil
+	}
+	answer := make([]byte, long)
+	if _, err := io.ReadFull(to, answer); err != nil {
+		return nil
+	}
+	return answer
+}
+
 // Hand passes a client's connection, and others that belong to it, on to the process that listens at the path; it is false where nobody
 // else does, or has not all of it. Once all is sent the connections are the other's, whether or not that says so in time: two may not
 // write to one client.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	paceLeast   = 0.5                    // of the usual pace: hosts are hardly ever twice as fast as the mean
 	likeLeast   = 0.8                    // of the pace of its like: hosts of a kind are hardly faster than that
 	paceStep    = 0.1                    // smoothing of a host's pace and a tenant's rate: their last ten
+	startSlack  = 2 * time.Second        // by which two processes may reckon a host's start: their clocks are read apart
 	forget      = 0.2                    // of a pace over the usual, a second: gone in some ten
 	workStep    = 0.02                   // smoothing of a profile's time: the last fifty answers
 	slowStep    = 0.005                  // the same for the least one: a few short answers are not it
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,8 +1,11 @@
 package logic_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"spanmux/logic"
@@ -1041,3 +1044,64 @@
 	// gateway 2 hosts: 5 hops of 40 to the one that is down: 3
 	// hosts of the three: 14
 }
+
+// A process that replaces another begins with what that had learnt: times of profiles and kinds whatever their age, hosts that have not
+// started since, and breakers for as long as they bar, while that is news. What it has learnt by itself stays.
+func Example_learnt() {
+	hosts := []logic.Host{host(1, "a", 0), host(2, "a", 1), host(3, "a", 2)}
+	for i := range hosts {
+		hosts[i].Started = 500 * ms
+	}
+	before := start([]logic.Profile{read}, nil, hosts...)
+	before.wait(9 * time.Second)
+	before.answered(0, 60, 0)
+	before.quiet = true
+	for id := 100; !strings.Contains(before.lines.String(), "host 2, all profiles: breaker open true"); id++ { // host 2 fails
+		before.take(id, 0, -1)
+		before.end(id, 0, either(before.last == 2, logic.Broken, logic.Committed), 60*ms)
+		before.wait(20 * ms)
+	}
+	text, err := json.Marshal(before.Learnt(before.now))
+	var l logic.Learnt
+	fmt.Println(err, json.Unmarshal(text, &l), l.Profiles[0].Work.Value < 1e8, l.Hosts[1].Open > 0)
+
+	for _, age := range []time.Duration{10 * ms, 5 * time.Second} {
+		s := start([]logic.Profile{read, payment}, nil)
+		s.wait(9*time.Second - s.now)
+		moved := slices.Clone(hosts) // this clock reads other than that one, and host 3 has started anew
+		for i := range moved {
+			moved[i].Started += s.now - before.now - age
+		}
+		moved[2].Started += 3 * time.Second
+		s.List(s.now, logic.Whole, moved)
+		s.Learn(s.now, l, age)
+		now := s.Learnt(s.now)
+		fmt.Println("age", age, "profile:", now.Profiles[0] == l.Profiles[0], "kind:", now.Kinds[0] == l.Kinds[0])
+		for i, h := range now.Hosts {
+			fmt.Println("host", h.ID, "pace:", h.Pace == l.Hosts[i].Pace, "barred:", h.Open > 0)
+		}
+		s.answered(0, 20, 0)
+		own := s.Learnt(s.now).Profiles[0]
+		s.Learn(s.now, l, age)
+		fmt.Println("hops to host 2:", s.hopsTo[2] > 0, "own stays:", s.Learnt(s.now).Profiles[0] == own)
+	}
+	// Output:
+	// <nil> <nil> true true
+	// age 10ms profile: true kind: true
+	// host 1 pace: true barred: false
+	// host 2 pace: true barred: true
+	// host 3 pace: false barred: false
+	// hops to host 2: false own stays: true
+	// age 5s profile: true kind: true
+	// host 1 pace: false barred: false
+	// host 2 pace: false barred: false
+	// host 3 pace: false barred: false
+	// hops to host 2: true own stays: true
+}
+
+func either[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -117,6 +117,60 @@
 	b.profiles, b.cold, b.drains, b.hops, b.from, b.price = profiles, cold, drains, hops, from, price
 }
 
+func (b *Balancer) Learnt(now time.Duration) Learnt {
+	l := Learnt{Errs: b.errs.mean()}
+	for i, p := range b.profiles {
+		if !p.Dropped && b.work[i].n > 0 {
+			l.Profiles = append(l.Profiles, LearntProfile{Name: p.Name, Work: b.work[i].mean(), Slow: b.slow[i].mean(), Free: b.free[i]})
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(b.table.models)) {
+		m := b.table.models[kind]
+		l.Kinds = append(l.Kinds, LearntKind{kind, m.places.mean(), m.pace.mean(), m.usual.mean(), m.held.mean(), m.busy.mean()})
+	}
+	for _, h := range b.table.ready {
+		k := LearntHost{ID: h.ID, Up: either(h.Started == 0, -1, now-h.Started), Weight: h.weight, Pace: h.pace.mean(), Latency: h.lat.mean(),
+			Cool: h.whole.cool, Share: h.whole.share}
+		if h.whole.open {
+			k.Open = max(1, h.whole.until-now)
+		}
+		l.Hosts = append(l.Hosts, k)
+	}
+	return l
+}
+
+// Learn trusts what was learnt of profiles and kinds for as long as it takes; what was learnt of hosts is old after some seconds. What
+// this process has learnt by itself stays.
+func (b *Balancer) Learn(now time.Duration, l Learnt, age time.Duration) {
+	b.turn(now)
+	for _, p := range l.Profiles {
+		i := slices.IndexFunc(b.profiles, func(k Profile) bool { return k.Name == p.Name && !k.Dropped })
+		if i >= 0 && b.work[i].n == 0 && p.Work.Value > 0 && p.Free > 0 {
+			b.work[i], b.slow[i], b.free[i], b.was[i] = p.Work.average(), p.Slow.average(), p.Free, p.Work.N
+		}
+	}
+	for _, k := range l.Kinds {
+		if m := b.table.models[k.Kind]; m != nil && m.places.n == 0 && m.pace.n == 0 {
+			m.places, m.pace, m.usual, m.held, m.busy = k.Places.average(), k.Pace.average(), k.Usual.average(), k.Held.average(), k.Busy.average()
+		}
+	}
+	if age > staleAge {
+		return
+	}
+	b.errs = l.Errs.average()
+	for _, k := range l.Hosts {
+		h := b.table.readyHost(k.ID)
+		if h == nil || h.lat.n > 0 || k.Up >= 0 && (now-h.Started-k.Up-age).Abs() > startSlack || (k.Up < 0) != (h.Started == 0) {
+			continue
+		}
+		h.weight, h.pace, h.lat, h.paced = k.Weight, k.Pace.average(), k.Latency.average(), now
+		h.whole.share, h.whole.cool = k.Share, k.Cool
+		if k.Open > age {
+			h.whole.open, h.whole.until = true, now+k.Open-age
+		}
+	}
+}
+
 // unsaid has a host told of soon.
 func (b *Balancer) unsaid(h *host) {
 	if b.from.Tells && h != nil && !h.unsaid {
@@ -469,6 +523,10 @@
 	a.value += max(step, 1/a.n) * (x - a.value)
 }
 
+func (a average) mean() Mean { return Mean{a.value, a.n} }
+
+func (m Mean) average() average { return average{m.Value, m.N} }
+
 // dueTimes are kept in order; of equal ones the first added comes first.
 type dueTimes struct {
 	items []dueItem
--- a/logic/types.go
+++ b/logic/types.go
@@ -37,6 +37,48 @@
 	Avoided() int
 	// Timer reports that a timer set through Doer has fallen due.
 	Timer(now time.Duration)
+	// Learnt is what was learnt so far, for a process that replaces this one; it changes nothing.
+	Learnt(now time.Duration) Learnt
+	// Learn takes in what such a process had learnt so long ago, of the profiles, kinds and hosts that are known here.
+	Learn(now time.Duration, l Learnt, age time.Duration)
+}
+
+// Learnt is what one process of a gateway can hand to the next. All spans are of time or from its own moment, as the clocks of two
+// processes differ.
+type Learnt struct {
+	Profiles []LearntProfile
+	Kinds    []LearntKind
+	Hosts    []LearntHost
+	Errs     Mean // share of errors at all hosts
+}
+
+// Mean is a smoothed value and how many samples it trusts.
+type Mean struct{ Value, N float64 }
+
+// LearntProfile is a profile's time with a core free and the least of late, nanoseconds.
+type LearntProfile struct {
+	Name       string
+	Work, Slow Mean
+	Free       float64
+}
+
+// LearntKind is what was learnt of the hosts of one kind: hops at work in a full one, hops held and utilisation as cores fill, pace.
+type LearntKind struct {
+	Kind              string
+	Places, Pace      Mean
+	Usual, Held, Busy Mean
+}
+
+// LearntHost is what was learnt of one host. Of one that has started since then nothing holds.
+type LearntHost struct {
+	ID      HostID
+	Up      time.Duration // since it started, below zero where that is not known
+	Weight  float64
+	Pace    Mean
+	Latency Mean
+	Open    time.Duration // for which its breaker for all profiles still bars it, 0 where that is closed
+	Cool    time.Duration // of the breaker's cooldown
+	Share   float64       // of errors there
 }
 
 // Doer is what a protocol does for the module.
