--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -29,6 +29,7 @@
 	Lists, ListsLost                          count
 	Tells, Told, ToldWrong                    count
 	Untold                                    count
+	Asks, AsksAnswered                        count // for a host drawn by another gateway; answers that came, late ones too
 	Microseconds                              count // from taken to answered, of all together
 	lines                                     bound // of what comes from outside
 	says                                      bound // of the module
@@ -123,7 +124,7 @@
 		{"hops_called_off", &b.Ends[logic.CalledOff]}, {"hops_declined", &b.Ends[logic.Moot]},
 		{"probes", &b.Probes}, {"probes_answered", &b.Probed},
 		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
-		{"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
+		{"asks", &b.Asks}, {"asks_answered", &b.AsksAnswered}, {"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
 		{"clients_accepted", &d.front.Accepted}, {"clients_crowded", &d.front.Crowded},
 		{"clients_gave_way", &d.front.GaveWay},
 		{"clients_broke", &b.ClientBroke}, {"hosts_connections", &d.pool.Opened},
--- a/internal/routing/daily_test.go
+++ b/internal/routing/daily_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -137,3 +138,22 @@
 	// one before: <nil>
 	// profiles learnt: 1
 }
+
+// Asks for a host and their answers are counted, so that it shows when the gateway that draws has fallen silent.
+func ExampleDesk_Tell_asks() {
+	s := play("one")
+	s.decide(func(time.Duration) {
+		s.Tell(1, []logic.Held{{Kind: logic.Asks, Hops: 1}, {Kind: logic.Asks}, {Kind: logic.Out}})
+	})
+	var at netip.AddrPort
+	for addr, number := range s.tells.number { // in any order: one is the other gateway's
+		if number == 1 {
+			at = addr
+		}
+	}
+	for msg := range s.opened.Messages([]logic.Held{{Kind: logic.Answer}, {Kind: logic.Out, Host: 1}}) {
+		s.told(at, msg)
+	}
+	fmt.Println("asks:", s.Book.Asks.Load(), "answered:", s.Book.AsksAnswered.Load(), "told:", s.Book.Told.Load())
+	// Output: asks: 2 answered: 1 told: 1
+}
--- a/internal/routing/tell.go
+++ b/internal/routing/tell.go
@@ -31,6 +31,7 @@
 	} else if !d.tells.all.IsValid() {
 		to = d.tells.others
 	}
+	d.Book.Asks.Add(kinds(held, logic.Asks))
 	socket := d.tells.socket
 	for msg := range d.opened.Messages(held) {
 		must.Hold(len(msg) <= given.MostBytes, "a datagram within its bound")
@@ -41,6 +42,16 @@
 	}
 }
 
+// kinds is how many of what is told are of a kind.
+func kinds(held []logic.Held, kind logic.HeldKind) (n int64) {
+	for _, k := range held {
+		if k.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *Desk) sendTell(socket *transport.Datagrams, at netip.AddrPort, msg []byte) {
 	if err := socket.Send(at, msg); err != nil {
 		d.Book.Untold.Add(1)
@@ -68,5 +79,6 @@
 		return
 	}
 	d.Book.Told.Add(1)
+	d.Book.AsksAnswered.Add(kinds(held, logic.Answer))
 	d.decide(func(now time.Duration) { d.opened.Told(now, from, held) })
 }
