--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,6 +15,7 @@
 	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
 	fewGateways = 20                     // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
+	muteFrom    = 25                     // asks in a row without an answer: five that draw in turn are silent
 	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
 	stillFrom   = 200 * time.Millisecond // by which nothing is late but at a gateway that stood still
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1105,3 +1105,43 @@
 	}
 	return b
 }
+
+// A gateway that nobody answers draws by itself at once after a while, and asks once a second whether that has changed: for as long as
+// gateways were cut off from each other each transaction had waited its time for nothing. Heard again, it asks the first one as before.
+func Example_mute() {
+	s := startAmong(300, 100, logic.Sources{Tells: true, AskWithin: 10 * time.Second}, []logic.Profile{read}, nil, host(1, "a", 0), host(2, "a", 1))
+	waited, asked := 0, 0
+	play := func(first, n int) {
+		waited, asked = 0, 0
+		for id := first; id < first+n; id++ {
+			s.last = 0
+			s.lines.Reset()
+			s.take(id, 0, -1)
+			if s.last == 0 {
+				waited++
+			}
+			if strings.Contains(s.lines.String(), "asks") {
+				asked++
+			}
+			s.wait(100 * ms)
+			s.end(id, 0, logic.Committed, 10*ms)
+		}
+	}
+	play(0, 30)
+	fmt.Println("at first:", waited, "wait,", asked, "ask")
+	play(30, 50)
+	fmt.Println("five seconds later on:", waited, "wait,", asked, "ask")
+	s.wait(time.Second)
+	s.lines.Reset()
+	s.take(90, 0, -1)
+	s.Told(s.now, 0, []logic.Held{{Kind: logic.Answer, Host: 2}})
+	s.end(90, 0, logic.Committed, 10*ms)
+	s.take(91, 0, -1)
+	s.print()
+	// Output:
+	// at first: 25 wait, 25 ask
+	// five seconds later on: 5 wait, 5 ask
+	// 10000 tell 0: asks, host 0, 0 hops
+	// 10000 tx 90 hop to 2 for 1000
+	// 10000 tell 0: asks, host 0, 0 hops
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -50,6 +50,8 @@
 	untold   []*host // hosts to tell of soon
 	relaying bool    // sums are due to be told
 	asking   []*tx   // waiting for a host drawn by another gateway
+	mute     int     // asks in a row that had no answer
+	askedAt  time.Duration
 }
 
 // New makes the decisions of one gateway; seed is the root of all its chance.
@@ -222,20 +224,30 @@
 
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
+// ask asks for a host. Where several that draw were silent one after the other it is this gateway, or all, that nobody hears: it draws by
+// itself at once then, and asks once a second. Each transaction had waited for nothing for as long as peers were cut off from each other.
 func (b *Balancer) ask(t *tx) {
+	if b.mute >= muteFrom && b.now-b.askedAt < askAgain {
+		b.start(t)
+		return
+	}
+	b.askedAt = b.now
 	b.asking = append(b.asking, t)
 	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
 	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
 		if i := slices.Index(b.asking, t); i >= 0 {
 			b.asking = slices.Delete(b.asking, i, i+1)
-			t.home.missed(rowToOpen)
+			t.home.missed(either(b.mute < muteFrom, rowToOpen, 2*rowToOpen))
+			if b.mute++; b.mute == muteFrom { // once heard again all are to ask the same one
+				t.home.skip, t.home.misses = 0, 0
+			}
 			b.start(t)
 		}
 	})
 }
 
 func (b *Balancer) answered(from int, k Held, h *host) {
-	b.table.own().misses = 0
+	b.table.own().misses, b.mute = 0, 0
 	b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
 	switch t := b.asked(k.Profile); {
 	case t == nil || t.done:
