--- a/tools/regress/main.go
+++ b/tools/regress/main.go
@@ -21,7 +21,8 @@
 type cli struct {
 	Bench    string   `required:"" help:"Folder of the operators' kit."`
 	Site     string   `required:"" help:"Site file that is played on sockets."`
-	SimSite  []string `help:"Site file that the simulator plays; may be given more than once. Needed for the panel sim."`
+	SimSite  []string `help:"Site file that the simulator of the move plays; may be given more than once. Needed for the panel sim."`
+	MoreSite []string `help:"Site file that the simulator plays; may be given more than once. Needed for the panel more."`
 	Quick    bool     `help:"Play the short form of each panel."`
 	Why      string   `required:"" help:"What is played, in one sentence; the bench notes it in its journal."`
 	Record   string   `name:"record-file" default:"docs/record.toml" help:"File with the figures to hold against."`
--- a/tools/regress/read.go
+++ b/tools/regress/read.go
@@ -29,7 +29,7 @@
 	errTwice    = errors.New("more than one figure for a site")
 	// what the two benches print: one figure in all, or one for each site
 	realFigure = regexp.MustCompile(`^score of the real nodes (\S+)`)
-	simFigure  = regexp.MustCompile(`^(?:score|quick estimate) on the standard days of (\S+)[^:]*: ([^ ,;]+)`)
+	simFigure  = regexp.MustCompile(`^(?:\[\w+\] )?(?:score|quick estimate) on the standard days of (\S+)[^:]*: ([^ ,;]+)`)
 	realDay    = regexp.MustCompile(`^(\S+) +G .* score (\S+)`)
 	gate       = regexp.MustCompile(`^GATE (\w+)`)
 	broken     = regexp.MustCompile(`^(?i:rules? broken|rules: broken)|\bBROKEN\b`)
