--- a/internal/given/shape_test.go
+++ b/internal/given/shape_test.go
@@ -13,9 +13,12 @@
 	own = `{"balancers":300,"me":1,"limits":{"secondCopies":false,"mayTell":false,"probes":true,"streamsPerConn":100},` +
 		`"report":{"via":"answers","fields":["busy","rif"]},"prices":{"connection":0.05},` +
 		`"blend":{"availability":0.2,"fullAtNines":2.0}}`
+	quiet = `{"balancers":36,"me":1,"limits":{"secondCopies":true,"mayTell":false,"probes":false,"streamsPerConn":1,"responseRoom":7},` +
+		`"prices":{"connection":0.0,"handshake":0.02},"obligations":{"closeOnDrainWithin":500000,"budgetError":2000000,` +
+		`"startError":0,"onlyDrainingBinds":true}}`
 )
 
-// Settings of either shape pass, with what older ones leave out; a mix is refused by the key that does not fit.
+// Settings of either shape pass, with what older ones leave out and with a pool that may not tell and prices new connections; a mix is refused by the key that does not fit.
 func ExampleCheck() {
 	check := func(settings string, peers int, change ...string) {
 		text := strings.NewReplacer(change...).Replace(settings)
@@ -23,6 +26,7 @@
 	}
 	check(pool, 4)
 	check(own, 0)
+	check(quiet, 0)
 	check(`{"balancers":1}`, 0)
 	check(pool, 4, `"connection":0.0`, `"connection":0.05`)
 	check(pool, 4, `"whole":0.6`, `"availability":0.2,"fullAtNines":2`)
@@ -38,6 +42,7 @@
 	// (4 peers): <nil>
 	//  (0 peers): <nil>
 	//  (0 peers): <nil>
+	//  (0 peers): <nil>
 	// "connection":0.0 to "connection":0.05 (4 peers): settings: prices.connection: a pool of gateways keeps its connections: limits.secondCopies says pool
 	// "whole":0.6 to "availability":0.2,"fullAtNines":2 (4 peers): settings: blend.availability: not for a pool of gateways: limits.secondCopies says pool
 	// "streamsPerConn":1 to "streamsPerConn":100 (4 peers): settings: limits.streamsPerConn: a pool's connections carry one transaction: limits.secondCopies says pool
