--- a/cmd/spanmux/daily_test.go
+++ b/cmd/spanmux/daily_test.go
@@ -85,6 +85,15 @@
 	return ln.Addr().String()
 }
 
+// dial is a client's new connection.
+func dial(addr string) net.Conn {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	return nc
+}
+
 // call is what an operator gets.
 func call(method, door, what string) string {
 	r, err := http.NewRequest(method, "http://"+door+"/-/"+what, nil)
@@ -273,10 +282,7 @@
 	whole := make(chan bool)
 	for n := range 8 {
 		go func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				panic(err)
-			}
+			nc := dial(addr)
 			defer nc.Close()
 			fmt.Fprintf(nc, "POST /write HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: write\r\nIdempotency-Key: k\r\n"+
 				"X-Expires-In-Ms: 2000\r\nContent-Length: %d\r\n\r\n", n, long)
@@ -331,10 +337,7 @@
 	got := make(chan string)
 	for i, do := range []string{"sized", "chunks"} {
 		go func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				panic(err)
-			}
+			nc := dial(addr)
 			defer nc.Close()
 			r, said := bufio.NewReader(nc), do+":"
 			for n, do := range []string{do, "short"} {
@@ -442,10 +445,7 @@
 	for i, c := range cases {
 		said[i] = make(chan string, 1)
 		go func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				panic(err)
-			}
+			nc := dial(addr)
 			defer nc.Close()
 			text, first := fmt.Sprintf(c.text, i), c.first
 			io.WriteString(nc, text[:first])
@@ -515,10 +515,7 @@
 			"Content-Length: 33554432\r\n\r\n",
 	} {
 		go func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				panic(err)
-			}
+			nc := dial(addr)
 			defer nc.Close()
 			io.WriteString(nc, text)
 			go func() {
@@ -603,10 +600,7 @@
 	ask := func(i int) {
 		said[i] = make(chan string, 1)
 		go func() {
-			nc, err := net.Dial("tcp", addr)
-			if err != nil {
-				panic(err)
-			}
+			nc := dial(addr)
 			defer nc.Close()
 			fmt.Fprintf(nc, "GET /read?%d HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: read\r\nX-Expires-In-Ms: 1900\r\n\r\n", i, i)
 			answer, err := http.ReadResponse(bufio.NewReader(nc), nil)
--- a/cmd/spanmux/refused_linux_amd64_test.go
+++ b/cmd/spanmux/refused_linux_amd64_test.go
@@ -71,10 +71,7 @@
 	defer os.RemoveAll(dir)
 	log, _ := os.CreateTemp(dir, "log")
 	p, door := gatewayLogging(log, socket, dir, 1, at, free())
-	nc, err := net.Dial("tcp", addr)
-	if err != nil {
-		panic(err)
-	}
+	nc := dial(addr)
 	defer nc.Close()
 	fmt.Fprintf(nc, "POST /write HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a\r\nX-Qos: write\r\nIdempotency-Key: k\r\nX-Expires-In-Ms: 2000\r\n"+
 		"Content-Length: %d\r\n\r\n", long)
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -60,11 +60,11 @@
 	may := f.whole && d.shared // what still comes of the client's message is not handed over
 	d.passing(f, true)
 	defer d.passing(f, false)
-	f.wrote = time.Now()
+	f.there, f.wrote = transport.There(f.host), time.Now()
 	for {
 		if may && f.broke == nil && d.closing.Load() {
 			may = false
-			text, err := json.Marshal(note{f.trace, f.from, f.rest.State(), f.framing, f.closing, f.last, false})
+			text, err := json.Marshal(note{Trace: f.trace, Host: f.from, Body: f.rest.State(), Framing: f.framing, Closing: f.closing, Last: f.last})
 			unsent := append(bytes.Join(f.unsent, nil), f.ahead...)
 			if err == nil && transport.Hand(d.heir, text, unsent, f.client, f.host) {
 				d.Book.Handed.Add(1)
@@ -286,7 +286,7 @@
 	d.Book.Adopted.Add(1)
 	d.Book.Open.Add(1)
 	d.front.Adopt(client, func(c *transport.Client) {
-		f := &flow{trace: n.Trace, began: time.Now(), client: c, host: host, there: transport.There(host), from: n.Host, rest: rest, ahead: read,
+		f := &flow{trace: n.Trace, began: time.Now(), client: c, host: host, from: n.Host, rest: rest, ahead: read,
 			framing: n.Framing, closing: n.Closing, whole: true, last: n.Last}
 		handed, err := d.pass(f)
 		host.Close()
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -144,8 +144,7 @@
 	parts, framing := a.Begin(t.said.Old, closing)
 	a.Body = nil
 	closing = closing || framing == protocol.ByClose
-	host := h.exchange.Host()
-	f := &flow{trace: t.said.Trace, began: h.sent, client: t.client, host: host, there: transport.There(host), from: h.host, rest: rest, unsent: parts,
+	f := &flow{trace: t.said.Trace, began: h.sent, client: t.client, host: h.exchange.Host(), from: h.host, rest: rest, unsent: parts,
 		framing: framing, closing: closing, whole: heard && !t.early}
 	handed, err := d.pass(f)
 	if err != nil {
--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -59,7 +59,7 @@
 			}
 			if answer := take(note, bytes, conns); answer != nil {
 				from.SetDeadline(time.Now().Add(handWithin))
-				parts := net.Buffers{binary.BigEndian.AppendUint32(nil, uint32(len(answer))), answer}
+				parts := net.Buffers{lengths(answer), answer}
 				parts.WriteTo(from) // without it the other goes on as if it had not asked
 			}
 		}()
@@ -70,8 +70,8 @@
 // whole, also where the one before does not wait to be told so: it has let go of them then.
 func taken(from *net.UnixConn) (note, bytes []byte, conns []net.Conn, err error) {
 	from.SetDeadline(time.Now().Add(takeWithin))
-	lengths, rights := make([]byte, 8), make([]byte, syscall.CmsgSpace(4*4))
-	n, k, _, _, err := from.ReadMsgUnix(lengths, rights)
+	head, rights := make([]byte, 8), make([]byte, syscall.CmsgSpace(4*4))
+	n, k, _, _, err := from.ReadMsgUnix(head, rights)
 	if err != nil {
 		return nil, nil, nil, err
 	}
@@ -90,10 +90,10 @@
 		}
 	}
 	if err == nil {
-		_, err = io.ReadFull(from, lengths[n:])
+		_, err = io.ReadFull(from, head[n:])
 	}
 	for i, part := range []*[]byte{&note, &bytes} {
-		long := binary.BigEndian.Uint32(lengths[4*i:])
+		long := binary.BigEndian.Uint32(head[4*i:])
 		if err == nil && long > handMost {
 			err = fmt.Errorf("%d bytes are handed over", long)
 		}
@@ -108,6 +108,14 @@
 	return note, bytes, conns, err
 }
 
+// lengths is what goes before parts: how long each is.
+func lengths(parts ...[]byte) (head []byte) {
+	for _, part := range parts {
+		head = binary.BigEndian.AppendUint32(head, uint32(len(part)))
+	}
+	return head
+}
+
 // Ask asks the process that listens at the path, and gives back what it says; nil where there is none, or it has nothing to say.
 func Ask(path string, note []byte) []byte {
 	to, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
@@ -116,8 +124,7 @@
 	}
 	defer to.Close()
 	to.SetDeadline(time.Now().Add(askWithin))
-	lengths := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, uint32(len(note))), 0)
-	if _, err := to.Write(append(lengths, note...)); err != nil {
+	if _, err := to.Write(append(lengths(note, nil), note...)); err != nil {
 		return nil
 	}
 	head := make([]byte, 5) // the word that all has come, and the length
@@ -151,10 +158,10 @@
 		return false
 	}
 	to.SetDeadline(time.Now().Add(handWithin))
-	lengths := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, uint32(len(note))), uint32(len(bytes)))
+	head := lengths(note, bytes)
 	err = holding(append([]net.Conn{c.nc}, more...), nil, func(fds []int) error {
-		n, _, err := to.WriteMsgUnix(lengths, syscall.UnixRights(fds...), nil)
-		if err == nil && n < len(lengths) {
+		n, _, err := to.WriteMsgUnix(head, syscall.UnixRights(fds...), nil)
+		if err == nil && n < len(head) {
 			err = io.ErrShortWrite
 		}
 		return err
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -616,7 +616,10 @@
 // jammed tells by chance whether a transaction is rolled back for what hops take in a zone. What is known of
 // another is little and old: a jam of the own one counts there too, or all would try the others by turns.
 func (b *Balancer) jammed(t *tx, g *group) bool {
-	jam := max(b.jam(g, t.profile), b.jam(t.home, t.profile))
+	jam := b.jam(t.home, t.profile)
+	if g != t.home {
+		jam = max(jam, b.jam(g, t.profile))
+	}
 	if b.sized() { // answers tell of a jam soon, but of hosts that stand still alike; the list of all, and late
 		of := jam * b.usually(t.profile) / b.bears(t.profile) * (g.meets + heldSpare) / heldMost
 		return b.chance.draw() < b.pressed(g, math.Sqrt(of)-heldShed)
--- a/logic/state.go
+++ b/logic/state.go
@@ -786,7 +786,6 @@
 	zone      string
 	index     int // among the zones
 	hosts     []*host
-	young     []*host       // those of which a start is known
 	order     []*group      // this one and then the others
 	queue     average       // hops waiting at a host here, where answers report it to one of many
 	rest      average       // hops of other gateways at a host here, where answers report what is held to one of many
@@ -908,6 +907,7 @@
 			own = append(own, h)
 		}
 	}
+	seldom := b.told() || b.lone() || b.sized() // a few short answers are not the least time
 	for i := range b.work {
 		w := &b.work[i]
 		if w.n-b.was[i] > priorPaces { // the time of one rolled back each time would drift away
@@ -918,12 +918,12 @@
 		// taken is no jam, but what a profile takes.
 		b.free[i] *= 1 + either(b.blind() && b.jam(b.table.own(), i) >= jamAlways, riseInJam, freeRise)
 		usual, step := *w, workStep
-		if b.told() || b.lone() || b.sized() { // a few short answers are not the least time
+		if seldom {
 			usual, step = b.slow[i], slowStep
 		}
 		switch {
 		case usual.n == 0: // or what is never answered would yield to nothing, and all others to it
-		case usual.n*step < 1 && !b.from.Tells && (b.told() || b.lone() || b.sized() || usual.value >= b.free[i]): // begun in a jam?
+		case usual.n*step < 1 && !b.from.Tells && (seldom || usual.value >= b.free[i]): // begun in a jam?
 			b.free[i] = min(usual.value, firstGuess*float64(b.profiles[i].Goal))
 		case b.from.Tells || usual.value < b.free[i]:
 			b.free[i] = usual.value
