What waits is not sent on once its client has left, wherever it waits

Seen: with limits.cancelling false a hop whose connection came up after its client had left was written all the same; what a client had sent behind an open transaction was taken, and sent, after it had gone; a body half come kept its host for an hour (bodyMost). Ruled out: the module (settle ends it, nothing more is drawn; a test of the ask's wait and of a host that turns away says so). Lines at fault: Pool.dial and hostConn.send wrote without a look at tx.answered; Client.Watch returned for good at the first byte behind; feed waited for a host with no eye on its client; a dial that was called off ended as NeverUp and spoke against its host. Change: an exchange is asked whether it is Wanted as its connection is there, and withdrawn with the transaction unless its last byte is written; the same look keeps what is new from a host that has drained meanwhile. The client's end is watched behind what is unread (poll, POLLRDHUP), and looked for before a message is taken. ExampleExchange_GiveUp now says the stricter word: withdrawn, never ran.

--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -18,8 +18,10 @@
 type Book struct {
 	Taken, Committed, RolledBack, Abandoned   count
 	Left, Declined                            count
+	LeftBefore                                count // whole messages whose clients had closed before they were taken
 	TurnedAway, Wrong, Unwritten, ClientBroke count
 	Hops, Written                             count // begun, and written whole
+	Withdrawn                                 count // not written, as nobody waited any more or the host took nothing new
 	Streamed, CutOff                          count // answers begun to be passed on in pieces; of these, those broken off
 	Open                                      count // taken and not ended
 	Handed, Adopted                           count // streamed answers that went over to the next process, and came from the one before
@@ -112,9 +114,9 @@
 		n    *count
 	}{
 		{"tx_taken", &b.Taken}, {"tx_committed", &b.Committed}, {"tx_rolled_back", &b.RolledBack},
-		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_declined", &b.Declined},
+		{"tx_abandoned", &b.Abandoned}, {"tx_left", &b.Left}, {"tx_left_before", &b.LeftBefore}, {"tx_declined", &b.Declined},
 		{"tx_turned_away", &b.TurnedAway},
-		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written},
+		{"tx_answers_unwritten", &b.Unwritten}, {"tx_microseconds", &b.Microseconds}, {"hops", &b.Hops}, {"hops_written", &b.Written}, {"hops_withdrawn", &b.Withdrawn},
 		{"answers_streamed", &b.Streamed}, {"answers_cut_off", &b.CutOff},
 		{"answers_handed_over", &b.Handed}, {"answers_adopted", &b.Adopted}, {"tx_open", &b.Open},
 		{"files_taken", &b.Applied}, {"files_turned_down", &b.Rejected},
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -187,8 +187,7 @@
 func (d *Desk) goes(host logic.HostID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, listed := d.list.addr[host]
-	return !listed || d.list.drains[host]
+	return !d.list.takes(host)
 }
 
 // brokenOff says what is known of an answer that ended too soon.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -14,7 +14,7 @@
 
 var endOf = map[transport.How]logic.End{
 	transport.NeverUp: logic.NoConnection, transport.NotWritten: logic.NoConnection, transport.Broken: logic.Broken,
-	transport.TimedOut: logic.TimedOut, transport.GivenUp: logic.CalledOff,
+	transport.TimedOut: logic.TimedOut, transport.GivenUp: logic.CalledOff, transport.Withdrawn: logic.NoConnection,
 }
 
 // end is how a hop ended, for the module.
@@ -36,6 +36,11 @@
 // declines would be declined by all: that is final too, and says nothing against the host. Counted as errors, what bad
 // clients send would open the breakers of good hosts.
 func (d *Desk) ended(h *hop, how transport.How) {
+	if how == transport.Withdrawn && !d.wants(h) {
+		d.Book.Withdrawn.Add(1)
+		d.unsent(h)
+		return
+	}
 	end, load := h.end(how), logic.NoLoad
 	if h.answer != nil {
 		load = h.answer.Load
@@ -112,6 +117,7 @@
 		t.client.Settled()
 	}
 	close(t.settled)
+	t.client.Look()
 }
 
 var errNobodyWaits = errors.New("nobody waits for the answer")
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -73,6 +73,16 @@
 	out      int
 }
 
+// over tells whether its answer is written.
+func (t *tx) over() bool {
+	select {
+	case <-t.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Open makes a gateway's desk; settings are the module's.
 func Open(settings []byte) (*Desk, error) {
 	opened, err := given.Read(settings, askWithin)
@@ -137,6 +147,11 @@
 func (d *Desk) settled(t *tx) {
 	t.answered = true
 	delete(d.open, t.said.Trace)
+	for _, h := range t.hops { // what no host has yet none needs to have, whether or not what runs may be called off
+		if h.exchange != nil {
+			d.then(h.exchange.Withdraw)
+		}
+	}
 	d.forget(t)
 }
 
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -39,6 +39,7 @@
 	h.exchange = &transport.Exchange{
 		Message: func() net.Buffers { return t.said.ForHost(time.Until(until)) },
 		Until:   until,
+		Wanted:  func() bool { return d.wants(h) },
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
 			h.answer, keep, err = protocol.ReadAnswer(r, &head, t.said.Bare, func() { h.exchange.Within(holdWithin) },
@@ -58,6 +59,14 @@
 	d.start(host, h.exchange)
 }
 
+// wants tells whether a hop is still to be sent: somebody waits for its transaction, and its host takes what is new. A connection may
+// be long in coming up; by then its client may have gone, or the grace of a drain be over.
+func (d *Desk) wants(h *hop) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !h.t.answered && d.list.takes(h.host)
+}
+
 // unsent ends a hop that can't be sent; it never ran, and says nothing of its host.
 func (d *Desk) unsent(h *hop) {
 	d.decide(func(now time.Duration) {
@@ -77,6 +86,7 @@
 	select {
 	case h.t.up <- r:
 		h.t.wait, h.t.feeding = wait, h
+		h.t.client.Look()
 		return true
 	default: // it has room for all hops that settings allow within reason
 		return false
@@ -91,9 +101,15 @@
 	t.client.Coming()
 	for {
 		if to == nil {
+			if !t.client.Stays(func() bool { return len(t.up) > 0 || t.over() }) {
+				if !d.left(t) {
+					<-t.settled
+				}
+				return false
+			}
 			select {
 			case to = <-t.up:
-			case <-t.settled:
+			default: // it has its answer
 				t.client.Drop()
 				return false
 			}
@@ -111,7 +127,7 @@
 			t.client.Drop()
 			return false
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		if err != nil && !errors.Is(err, io.EOF) || t.client.Gone() {
 			if d.left(t) {
 				d.answerWrong(t.client, err)
 			} else {
@@ -140,11 +156,9 @@
 			to = nil
 		}
 		t.client.Waited(time.Since(began))
-		select {
-		case <-t.settled:
+		if t.over() {
 			t.client.Drop()
 			return false
-		default:
 		}
 	}
 }
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -46,6 +46,9 @@
 		return false
 	case !c.Whole():
 		return false
+	case c.Gone(): // while it waited behind another, or to be accepted
+		d.Book.LeftBefore.Add(1)
+		return false
 	case said.Own != "":
 		said.Close = said.Close || d.sendsAway() || said.Rest != nil
 		return d.own(c, said) == nil && !said.Close && !c.Over
@@ -60,13 +63,12 @@
 	}
 	// While hops are out the connection is watched, as its end is all that a client that leaves says. The
 	// answer is written by whoever has it.
-	if c.Watch() != nil {
+	if c.Watch(t.settled) != nil {
 		if !d.left(t) {
 			<-t.settled
 		}
 		return false
 	}
-	<-t.settled // what came early is the next transaction
 	return true
 }
 
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -174,6 +174,12 @@
 	return transport.Target{Host: uint32(id), Addr: l.addr[id]}
 }
 
+// takes tells whether a host is listed and does not drain.
+func (l *listing) takes(id logic.HostID) bool {
+	_, listed := l.addr[id]
+	return listed && !l.drains[id]
+}
+
 func (l *listing) targets() map[transport.Target]bool {
 	all := map[transport.Target]bool{}
 	for id := range l.addr {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -59,6 +59,8 @@
 	since time.Time
 	spoke bool // a message of it has come whole
 	shut  bool // closed while nothing was owed
+	early bool // some of its next message has been read
+	stays bool // only its end is waited for, or a look
 	place bool // it has one in the room
 	feeds bool // its message is taken and still comes
 }
@@ -335,7 +337,7 @@
 func (c *Client) Heard() {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
-	c.feeds = false
+	c.feeds, c.early = false, c.R.Buffered() > 0
 	c.nc.SetReadDeadline(time.Time{})
 }
 
@@ -366,6 +368,9 @@
 	c.dropKept()
 	c.nc.SetReadDeadline(time.Time{})
 	open := c.becomes(owed)
+	c.front.mu.Lock()
+	c.early = c.R.Buffered() > 0
+	c.front.mu.Unlock()
 	if c.Over && c.front.enter() {
 		c.Over = false
 		c.front.mu.Lock()
@@ -377,21 +382,66 @@
 	return open
 }
 
-// Watch waits until the client closes, or sends what comes next; a message is whole now. Once that is answered, be it that
-// the client says nothing, the connection is idle, and closed as such: counted as busy until the next message, those of
-// clients that ask once would take all room for good.
-func (c *Client) Watch() error {
-	if c.R.Buffered() > 0 {
-		return nil
+// Watch waits until the client closes, or the message is settled and the next one comes; it is whole now. What comes before that waits its
+// turn, and its client may close all the same. Once the message is answered, be it that the client says nothing, the connection is idle, and
+// closed as such: counted as busy until the next message, those of clients that ask once would take all room for good.
+func (c *Client) Watch(settled <-chan struct{}) error {
+	if c.R.Buffered() == 0 {
+		c.release()
+		err := c.see.wait()
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.see.any() { // as its time was up
+			err = nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	c.release()
-	err := c.see.wait()
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.see.any() { // as its time was up
-		err = nil
+	if !c.Stays(func() bool {
+		select {
+		case <-settled:
+			return true
+		default:
+			return false
+		}
+	}) {
+		return io.EOF
+	}
+	return nil
+}
+
+// Stays waits until something has come about, which is looked at again with each Look; it is false where the client closes before that.
+func (c *Client) Stays(until func() bool) bool {
+	c.stay(true)
+	defer c.stay(false)
+	for !until() {
+		if err := c.see.end(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+		c.nc.SetReadDeadline(time.Time{}) // before it is looked at: what comes about from now on ends the wait anew
+	}
+	return true
+}
+
+func (c *Client) stay(on bool) {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	if c.stays = on; on {
+		c.nc.SetReadDeadline(time.Time{})
 	}
-	return err
 }
 
+// Look has Stays look whether it has come about.
+func (c *Client) Look() {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	if c.stays { // else the reading of something else would end
+		c.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// Gone tells whether the client has closed.
+func (c *Client) Gone() bool { return c.see.gone() }
+
 // Settled says that the message has its answer; nothing is owed any more.
 func (c *Client) Settled() { c.sayBy(c.rest()) }
 
@@ -555,7 +605,7 @@
 	case torn:
 		return now.Sub(c.since) >= tornWithin
 	case idle:
-		return !c.see.any()
+		return !c.early && !c.see.any()
 	}
 	return false
 }
@@ -624,7 +674,7 @@
 	defer f.mu.Unlock()
 	f.closing = true
 	for c := range f.open {
-		if (c.doing == silent || c.doing == idle) && !c.see.any() {
+		if (c.doing == silent || c.doing == idle) && !c.early && !c.see.any() {
 			c.shutNow()
 		}
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,12 +24,15 @@
 	Broken         // it broke after that, or the answer made no sense
 	TimedOut
 	GivenUp
+	Withdrawn // given up before its last byte was written, or not wanted any more as it was to be: never ran
 )
 
 // Exchange is one message to a host and what comes back. Done is called exactly once.
 type Exchange struct {
 	Message func() net.Buffers // made when it is written, so that it can say what time is left
 	Until   time.Time
+	// Wanted is nil, or tells whether the message is still to be sent; it is asked as a connection is there. It may have been long in coming.
+	Wanted  func() bool
 	Read    func(*bufio.Reader) (keep bool, err error)
 	Written func() // nil, or called once the last byte of the message is written
 	Done    func(How)
@@ -39,6 +42,7 @@
 
 	mu    sync.Mutex
 	given bool
+	begun bool // the last byte is written, or about to be
 	stop  func()
 	nc    net.Conn // from when the message is written
 }
@@ -70,7 +74,7 @@
 func (r *Rest) Last(piece net.Buffers, within time.Duration) error {
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	if r.c.out != r.x {
+	if r.c.out != r.x || !r.x.begin() {
 		return net.ErrClosed
 	}
 	err := r.Write(piece)
@@ -92,6 +96,31 @@
 	}
 }
 
+// Withdraw ends the exchange unless its last byte is written: nothing of it has run, and the host need not hear more.
+func (x *Exchange) Withdraw() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.given = x.given || !x.begun; !x.begun && x.stop != nil {
+		x.stop()
+	}
+}
+
+// begin says that the last byte is about to be written; it is false where the exchange was given up before.
+func (x *Exchange) begin() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.begun = !x.given
+	return x.begun
+}
+
+func (x *Exchange) wasGiven() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.given
+}
+
+func (x *Exchange) wanted() bool { return x.Wanted == nil || x.Wanted() }
+
 // stopBy says how the exchange is stopped from now on; it is false if that is due already.
 func (x *Exchange) stopBy(stop func()) bool {
 	x.mu.Lock()
@@ -110,8 +139,9 @@
 // Pool keeps the connections to hosts. The one used last is used first, so that few are kept.
 type Pool struct {
 	room    *Room
-	within  time.Duration // for a connection to come up
-	idle    time.Duration // for which one is kept idle
+	Up      func(ctx context.Context, network, addr string) (net.Conn, error) // opens one
+	within  time.Duration                                                     // for it to come up
+	idle    time.Duration                                                     // for which one is kept idle
 	mu      sync.Mutex
 	free    map[Target][]*hostConn
 	Opened  atomic.Int64
@@ -119,7 +149,7 @@
 }
 
 func NewPool(room *Room, connectWithin, hostsKeepIdle time.Duration) *Pool {
-	p := &Pool{room: room, within: connectWithin, idle: hostsKeepIdle / idlePart, free: map[Target][]*hostConn{}}
+	p := &Pool{room: room, Up: (&net.Dialer{}).DialContext, within: connectWithin, idle: hostsKeepIdle / idlePart, free: map[Target][]*hostConn{}}
 	room.GiveWay(p.closeIdle)
 	return p
 }
@@ -142,6 +172,10 @@
 
 // Start sends an exchange to a host, on a connection that is idle or on a new one.
 func (p *Pool) Start(to Target, x *Exchange) {
+	if !x.wanted() {
+		x.Done(Withdrawn)
+		return
+	}
 	for c := p.take(to); c != nil; c = p.take(to) {
 		if c.send(x) {
 			return
@@ -240,20 +274,30 @@
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(x.Until, time.Now().Add(p.within)))
 	defer cancel()
 	if !x.stopBy(cancel) {
-		x.Done(GivenUp)
+		x.Done(Withdrawn)
 		return
 	}
 	if !p.room.Enter() {
 		x.Done(NeverUp)
 		return
 	}
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.Addr)
+	nc, err := p.Up(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.room.Leave()
-		x.Done(NeverUp)
+		if x.wasGiven() {
+			x.Done(Withdrawn)
+		} else {
+			x.Done(NeverUp)
+		}
 		return
 	}
 	p.Opened.Add(1)
+	if !x.wanted() { // it was long in coming up
+		nc.Close()
+		p.room.Leave()
+		x.Done(Withdrawn)
+		return
+	}
 	nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
 	c := &hostConn{pool: p, to: to, nc: nc, see: sightOf(nc), r: bufio.NewReaderSize(nc, hostBuffer)}
 	if !c.send(x) { // its host speaks, or ends it, unasked
@@ -292,6 +336,10 @@
 		c.nc.Close() // its goroutine ends the exchange
 		return true
 	}
+	if x.Rest == nil && !x.begin() {
+		c.nc.Close()
+		return true
+	}
 	message := x.Message()
 	_, err := message.WriteTo(c.nc)
 	switch {
@@ -378,6 +426,8 @@
 	switch {
 	case err == nil:
 		return Answered
+	case x.given && !whole:
+		return Withdrawn
 	case x.given:
 		return GivenUp
 	case !whole:
--- a/internal/transport/ready.go
+++ b/internal/transport/ready.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // sight looks at what has come on a connection and takes nothing of it. So it can be told for certain whether there was
@@ -33,6 +35,26 @@
 	return there
 }
 
+// gone tells whether the other side has ended the connection, whatever has come on it before that and is not read yet.
+func (s sight) gone() (gone bool) {
+	s.raw.Control(func(fd uintptr) { gone = hungUp(fd) })
+	return gone
+}
+
+// end waits for the other side's end, behind whatever has come; the error is this side's: its time is up, or it has closed.
+func (s sight) end() error { return s.raw.Read(hungUp) }
+
+// hungUp asks for the state of the connection, which goes before what is unread. Half an end is one: a client that has closed says no more.
+func hungUp(fd uintptr) bool {
+	for {
+		fds := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		if err != unix.EINTR {
+			return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	}
+}
+
 func look(fd uintptr) (there, end bool) {
 	var b [1]byte
 	for {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -37,7 +37,7 @@
 
 const ever = 5 * time.Second
 
-var hows = [...]string{"answered", "never up", "not written", "broken", "timed out", "given up"}
+var hows = [...]string{"answered", "never up", "not written", "broken", "timed out", "given up", "withdrawn"}
 
 // talk sends one line and waits for how that ends.
 func talk(p *Pool, addr, line string, within time.Duration, giveUp bool) {
@@ -157,7 +157,7 @@
 	x.GiveUp()
 	NewPool(NewRoom(2), ever, time.Second).Start(Target{Addr: addr}, x)
 	fmt.Println(hows[<-done])
-	// Output: given up
+	// Output: withdrawn
 }
 
 // front is one that answers lines.
@@ -167,6 +167,8 @@
 		panic(err)
 	}
 	f := Listen(ln, room, most, 1)
+	settled := make(chan struct{})
+	close(settled)
 	go f.Serve(func(c *Client) {
 		for c.Await() == nil {
 			line, err := c.R.ReadString('\n')
@@ -176,7 +178,7 @@
 				c.Write(net.Buffers{[]byte("no room\n")})
 				return
 			} else if line == "stay\n" {
-				c.Watch()
+				c.Watch(settled)
 			}
 			c.Write(net.Buffers{[]byte("ok\n")})
 		}
