A watch cut off is had again at once; older lists are not taken; old notices count

Seen by reckoning, then by stand-ins: a silent watch counted as lost 1.5 s after its wait, and the module asked again only after spread(askAgain): up to 1 s with few gateways, up to 2.5 s to 5 s with 300 (25 ms each, half of askWithin at most), while what it missed counts as told 2 s after the wait. A reset waited as long. A watch's answer with an older rev was taken as changes, and brought hosts back that drain. A notice that lay on the old connection at SIGHUP was lost with it. Ruled out: a call that dribbles (Line.Call has one time for all of it). Lines at fault: Desk.watch told the module of each loss alike; takeList looked at no rev; rediscover closed the old line at once. Change: silence (1 s after the wait now) and broken connections are had again once at once, for 3 s at most; a refusal is the module's as ever. Reckoned for 1, 3, 60, 300 gateways: known lost 1 s after a wait of 3, 3, 6, 20 s, and asked in the same instant: 1 s and the grace are left.

--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -28,8 +29,11 @@
 	BootMS   int64   `json:"boot_ms"`
 }
 
+// Terminating is the state of a host that drains.
+const Terminating = "terminating"
+
 var states = map[string]logic.HostState{
-	"in_service": logic.Ready, "terminating": logic.Draining, "terminated": logic.Gone,
+	"in_service": logic.Ready, Terminating: logic.Draining, "terminated": logic.Gone,
 }
 
 // ParseList reads a list. One entry that makes no sense spoils it: it can't be told what else is wrong.
@@ -64,6 +68,9 @@
 	return fmt.Sprintf("%s?index=%d&wait=%d", ListTarget, rev, wait.Milliseconds())
 }
 
+// Torn tells whether a message ended before it was whole.
+func Torn(err error) bool { return errors.Is(err, errTorn) }
+
 // ReadList reads discovery's answer.
 func ReadList(r *bufio.Reader) (body []byte, status int, keep bool, err error) {
 	var h Head
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -29,6 +29,7 @@
 	Ends                                      [logic.Moot + 1]count
 	Probes, Probed                            count
 	Lists, ListsLost                          count
+	ListsAgain, ListsOlder                    count // had again at once, as the watch was cut off; older than what is in hand, and not taken
 	Tells, Told, ToldWrong                    count
 	Untold                                    count
 	Asks, AsksAnswered                        count // for a host drawn by another gateway; answers that came, late ones too
@@ -125,7 +126,8 @@
 		{"hops_no_connection", &b.Ends[logic.NoConnection]}, {"hops_broken", &b.Ends[logic.Broken]},
 		{"hops_called_off", &b.Ends[logic.CalledOff]}, {"hops_declined", &b.Ends[logic.Moot]},
 		{"probes", &b.Probes}, {"probes_answered", &b.Probed},
-		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
+		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"lists_again", &b.ListsAgain},
+		{"lists_older", &b.ListsOlder}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
 		{"asks", &b.Asks}, {"asks_answered", &b.AsksAnswered}, {"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
 		{"clients_accepted", &d.front.Accepted}, {"clients_crowded", &d.front.Crowded},
 		{"clients_gave_way", &d.front.GaveWay},
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -12,7 +12,8 @@
 	watchWait    = 3 * time.Second         // of a watch's call: one that has fallen silent is known no sooner
 	watchEach    = 100 * time.Millisecond  // of that for each gateway, as all together ask one discovery
 	watchMost    = 20 * time.Second        // of that, however many there are
-	listLate     = 1500 * time.Millisecond // after which a call counts as lost, over what it may wait: far over its way
+	listLate     = time.Second             // after which a call that waits counts as lost, over that: what it missed counts as told a second later
+	callLate     = 1500 * time.Millisecond // the same for one that does not wait: discovery works through calls in turn
 	hurry        = 100 * time.Millisecond  // before the next call where one brought nothing: within the 200 ms of a watch
 	usualSockets = 1024                    // what a process may have open where nothing is said of it
 	usualMemory  = 64 << 20                // bytes that a process may use, ditto
--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -1,11 +1,13 @@
 package routing
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +35,13 @@
 	return s
 }
 
+// never tells whether something that was waited for has not come about.
+func (s *stage) never() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.lines, func(l string) bool { return strings.HasPrefix(l, "never") })
+}
+
 var leaves = map[string]func(*line){
 	"closes": func(c *line) { c.Close() },
 	"resets": func(c *line) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
@@ -58,7 +67,10 @@
 				s.untilLeft(1)
 				s.gate <- true
 				s.until("withdrawn", func() bool { return s.Book.Withdrawn.Load() == 1 })
-				sent += int(s.Book.Written.Load()) + len(s.lines)
+				sent += int(s.Book.Written.Load())
+				if s.never() {
+					sent++
+				}
 				if n := s.Book.Ends[logic.NoConnection].Load(); n != 0 {
 					fmt.Println("ends that speak against the host:", n)
 				}
@@ -89,11 +101,11 @@
 		c.Close()
 		s.untilLeft(1)
 		s.until("all closed", func() bool { return s.front.Open() == 0 })
-		fmt.Println("sent:", s.Book.Hops.Load(), "left:", s.Book.Left.Load())
+		fmt.Println("sent:", s.Book.Hops.Load(), "left:", s.Book.Left.Load(), s.never())
 	}
 	// Output:
-	// sent: 1 left: 1
-	// sent: 1 left: 1
+	// sent: 1 left: 1 false
+	// sent: 1 left: 1 false
 }
 
 // A message that waits to be accepted, as the front is at its limit, is not taken once its client has closed.
@@ -116,8 +128,8 @@
 	}
 	go s.front.Serve(s.client)
 	s.until("all closed", func() bool { return s.front.Accepted.Load() == 3 && s.front.Open() == 0 })
-	fmt.Println("taken:", s.Book.Taken.Load(), "sent:", s.Book.Hops.Load())
-	// Output: taken: 0 sent: 0
+	fmt.Println("taken:", s.Book.Taken.Load(), "sent:", s.Book.Hops.Load(), s.never())
+	// Output: taken: 0 sent: 0 false
 }
 
 // A client that leaves with its body half come, as the connection to a host comes up, was seen once that was there, and its host kept half
@@ -140,11 +152,11 @@
 		}
 		s.until("withdrawn", func() bool { return s.Book.Withdrawn.Load() == 1 && s.front.Open() == 0 })
 		s.until("its socket is free", func() bool { return s.room.Used() == 0 })
-		fmt.Println("some passed on:", up, "written whole:", s.Book.Written.Load(), s.lines)
+		fmt.Println("some passed on:", up, "written whole:", s.Book.Written.Load(), s.never())
 	}
 	// Output:
-	// some passed on: false written whole: 0 []
-	// some passed on: true written whole: 0 []
+	// some passed on: false written whole: 0 false
+	// some passed on: true written whole: 0 false
 }
 
 // What waits for a host drawn by another gateway is not sent once its client has left, nor does it go on to the next host as the
@@ -228,3 +240,120 @@
 	}
 	b.ReportMetric(float64(most)/1e6, "ms-late-at-most")
 }
+
+// How a watch ends says what is done next. One that falls silent, or is broken off, is had again at once: what it missed counts as told
+// 2 s after its wait, and a pause before that call used them up. One that is refused waits until the module asks.
+func Example_watchEnds() {
+	for _, end := range []string{"silence", "reset", "torn", "refusal"} {
+		s, calls, first := play("one"), make(chan string, 9), make(chan time.Time, 1)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		go func() {
+			for n := 0; ; n++ {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					continue
+				}
+				calls <- r.URL.String()
+				switch {
+				case n == 0: // all, on a connection of its own
+					io.WriteString(nc, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 33\r\n\r\n"+`{"rev":5,"all":true,"targets":[]}`)
+					nc.Close()
+				case n == 1:
+					first <- time.Now()
+					switch end {
+					case "reset":
+						nc.(*net.TCPConn).SetLinger(0)
+					case "torn":
+						io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n{\"rev\"")
+					case "refusal":
+						io.WriteString(nc, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
+					case "silence":
+						continue
+					}
+					nc.Close()
+				}
+			}
+		}()
+		s.decide(func(time.Duration) { s.rediscover(ln.Addr().String()) })
+		fmt.Println(end, <-calls, <-calls)
+		began := <-first
+		fmt.Println(<-calls, "in time:", time.Since(began) < watchWait+2*time.Second, "again at once:", s.Book.ListsAgain.Load(), "for the module:", s.Book.ListsLost.Load())
+	}
+	// Output:
+	// silence /v1/endpoints /v1/endpoints?index=5&wait=3000
+	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
+	// reset /v1/endpoints /v1/endpoints?index=5&wait=3000
+	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
+	// torn /v1/endpoints /v1/endpoints?index=5&wait=3000
+	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
+	// refusal /v1/endpoints /v1/endpoints?index=5&wait=3000
+	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 0 for the module: 1
+}
+
+// A list that is older than what is in hand is not taken: all is asked for. Where that is older too, discovery has begun anew; what was
+// said to drain still does, unless it has started since.
+func Example_listOlder() {
+	s := play("one", "two", "three")
+	entry := func(uid, state string, boot int64) string {
+		return fmt.Sprintf(`{"uid":%q,"az":"a","endpoint":"127.0.0.1:1","state":%q,"boot_ms":%d}`, uid, state, boot)
+	}
+	s.lists <- `{"rev":9,"targets":[` + entry("one", "terminating", 0) + "," + entry("two", "terminating", 0) + `]}`
+	s.untilRev(9)
+	older := entry("one", "in_service", 0) + "," + entry("two", "in_service", 1_000_000) + "," + entry("three", "in_service", 0)
+	s.lists <- `{"rev":3,"targets":[` + older + `]}`
+	s.until("not taken", func() bool { return s.Book.ListsOlder.Load() == 1 })
+	s.lists <- `{"rev":3,"all":true,"targets":[` + older + `]}`
+	s.untilRev(3)
+	s.print()
+	for _, uid := range []string{"one", "two", "three"} {
+		fmt.Println(uid, "takes what is new:", s.list.takes(s.list.ids[uid]))
+	}
+	// Output:
+	// discovery: /v1/endpoints?index=4&wait=3000
+	// discovery: /v1/endpoints?index=9&wait=3000
+	// discovery: /v1/endpoints
+	// one takes what is new: false
+	// two takes what is new: true
+	// three takes what is new: true
+}
+
+// A notice that comes where discovery was counts until it is heard where it is, and nothing else that comes there does.
+func Example_drainNoticeAtOldAddress() {
+	s := play("one", "two")
+	s.until("a call", func() bool { return s.Book.Lists.Load() == 1 })
+	moved, answer := make(chan bool), make(chan bool)
+	at := s.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		moved <- true
+		<-answer
+		io.WriteString(w, `{"rev":1,"all":true,"targets":[]}`)
+	}))
+	s.decide(func(time.Duration) { s.rediscover(at) })
+	<-moved // it is asked, and says nothing yet
+	s.lists <- `{"rev":5,"targets":[{"uid":"one","az":"a","state":"terminating"},{"uid":"new","az":"a","state":"in_service"}]}`
+	s.until("goes", func() bool { s.Desk.mu.Lock(); defer s.Desk.mu.Unlock(); return !s.list.takes(s.list.ids["one"]) })
+	for range 3 {
+		s.ask("pay", "go")
+	}
+	s.print()
+	fmt.Println("known:", len(s.list.addr))
+	answer <- true
+	s.untilRev(1)
+	fmt.Println("known:", len(s.list.addr), "lost:", s.Book.ListsLost.Load())
+	// Output:
+	// discovery: /v1/endpoints?index=4&wait=3000
+	// two: POST /pay?go "hi"
+	// pay go: 200 "answer to go"
+	// two: POST /pay?go "hi"
+	// pay go: 200 "answer to go"
+	// two: POST /pay?go "hi"
+	// pay go: 200 "answer to go"
+	// known: 2
+	// known: 0 lost: 0
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -560,9 +560,10 @@
 	for _, rules := range []string{settings, strings.Replace(settings, `"askWithin"`, `"closeOnDrainWithin":500000,"askWithin"`, 1)} {
 		s := playBy(rules)
 		closed := make(chan bool, 9)
-		ask := make(chan bool)
+		ask, there := make(chan bool), make(chan bool, 1)
 		host := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.RawQuery == "wait" {
+				there <- true
 				<-ask
 			}
 		}))
@@ -576,6 +577,8 @@
 		s.untilRev(5)
 		busy := s.dial()
 		io.WriteString(busy, text("read", "wait", ""))
+		defer busy.Close() // one that nobody holds any more is closed by the collector
+		<-there            // else it would come to a host that drains
 		s.ask("read", "go")
 		s.lists <- fmt.Sprintf(`{"rev":6,"targets":[{"uid":"one","az":"a","endpoint":%q,"state":"terminating"}]}`, host.Listener.Addr())
 		s.untilRev(6)
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -2,9 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"syscall"
 	"time"
 
 	"spanmux/internal/protocol"
@@ -15,18 +21,19 @@
 // listing is what is known of the list; the desk's lock guards it.
 type listing struct {
 	line     *transport.Line // to discovery; only the watch calls on it
+	old      *transport.Line // to where discovery was, until it is heard at the new address
 	rev      int64
 	has      bool // a list of this discovery is in hand
 	watching bool
 	ids      map[string]logic.HostID
 	uids     map[logic.HostID]string
 	addr     map[logic.HostID]string
-	drains   map[logic.HostID]bool // those listed that do
+	drains   map[logic.HostID]int64 // those listed that do, with the time of their start
 }
 
 func newListing() listing {
 	return listing{ids: map[string]logic.HostID{}, uids: map[logic.HostID]string{}, addr: map[logic.HostID]string{},
-		drains: map[logic.HostID]bool{}}
+		drains: map[logic.HostID]int64{}}
 }
 
 // AskList begins a watch; one that goes on already brings what there is.
@@ -39,30 +46,73 @@
 }
 
 // rediscover has the list asked for at another address from now on. The call that is out at the old one may wait for
-// long yet, and what it brings, or its end, says nothing any more. Versions may not go on there: the first call is for
-// all.
+// long yet; until the new one is heard, hosts that go by what it brings do go, and nothing else that it brings, nor its end, says
+// anything any more. Versions may not go on there: the first call is for all.
 func (d *Desk) rediscover(addr string) {
 	if addr == d.list.line.Addr {
 		return
 	}
-	d.then(d.list.line.Close)
-	d.list.line, d.list.has, d.list.watching = &transport.Line{Addr: addr}, false, false
+	d.closeOld()
+	d.list.old = d.list.line
+	d.list.line, d.list.rev, d.list.has, d.list.watching = &transport.Line{Addr: addr}, 0, false, false
 	d.AskList()
 }
 
+func (d *Desk) closeOld() {
+	if d.list.old != nil {
+		d.then(d.list.old.Close)
+		d.list.old = nil
+	}
+}
+
+// dated is what is taken of a list that is not simply the next one; it is false where nothing is. Of one from where discovery was
+// before, only what goes. One that is older than what is in hand, as a discovery that has begun anew or lags behind may answer, is
+// not taken: all is asked for. Where that is older too the numbers begin anew; a host that was said to drain, and has not started
+// since, does so still.
+func (d *Desk) dated(line *transport.Line, kind logic.ListKind, list *protocol.List) bool {
+	older := list.Rev < d.list.rev
+	switch {
+	case line == d.list.old:
+		list.Targets = slices.DeleteFunc(list.Targets, func(e protocol.Entry) bool {
+			id, known := d.list.ids[e.UID]
+			return !known || !d.list.takes(id) || e.Host(id, d.since).State == logic.Ready
+		})
+		return len(list.Targets) > 0
+	case line != d.list.line:
+		return false
+	case older && d.list.has && kind != logic.Cached:
+		d.Book.ListsOlder.Add(1)
+		d.list.has = false
+		return false
+	}
+	for i := range list.Targets {
+		e := &list.Targets[i]
+		boot, drains := d.list.drains[d.list.ids[e.UID]]
+		if older && drains && boot == e.BootMS && e.Host(0, d.since).State == logic.Ready {
+			e.State = protocol.Terminating
+		}
+	}
+	return true
+}
+
 // watchFor is how long a watch's call may wait. Until that is over one that has fallen silent looks like one with nothing to
 // tell, and hosts that drain or have come go unheard of.
 func watchFor(gateways int) time.Duration {
 	return min(max(watchWait, time.Duration(gateways)*watchEach), watchMost)
 }
 
-// watch calls for the list until a call is lost. The next call comes at once, so that the watch goes on.
+// watch calls for the list until a call is lost. The next call comes at once, so that the watch goes on. One that fell silent, or was
+// broken off, says nothing against discovery, and what it missed counts as told soon: it is had again at once, for a short wait, and only
+// the next loss is for the module. One that was refused is that already: discovery is down, or has too many callers.
 func (d *Desk) watch(line *transport.Line) {
-	for {
+	for again := false; ; {
 		d.mu.Lock()
-		target, wait, current := protocol.ListTarget, time.Duration(0), d.list.line == line
+		target, wait, late, current := protocol.ListTarget, time.Duration(0), callLate, d.list.line == line
 		if d.list.has {
-			wait = watchFor(d.opened.Gateways)
+			wait, late = watchFor(d.opened.Gateways), listLate
+			if again {
+				wait = min(wait, watchWait)
+			}
 			target = protocol.WatchTarget(d.list.rev, wait)
 		}
 		d.mu.Unlock()
@@ -70,7 +120,11 @@
 			return
 		}
 		called := time.Now()
-		list, err := d.callList(line, target, wait+listLate)
+		list, err := d.callList(line, target, wait+late)
+		if again = err != nil && !again && wait > 0 && cutOff(err); again {
+			d.Book.ListsAgain.Add(1)
+			continue
+		}
 		if err != nil {
 			d.decide(func(now time.Duration) {
 				if d.list.line == line {
@@ -93,6 +147,16 @@
 	}
 }
 
+// cutOff tells whether a call was answered by nobody: it fell silent, or its connection ended.
+func cutOff(err error) bool {
+	var call *net.OpError
+	if errors.As(err, &call) && call.Op == "dial" { // nobody is there
+		return false
+	}
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) || protocol.Torn(err)
+}
+
 func (d *Desk) callList(line *transport.Line, target string, within time.Duration) (list *protocol.List, err error) {
 	d.Book.Lists.Add(1)
 	err = line.Call(protocol.Call(target, line.Addr), within, func(r *bufio.Reader) (bool, error) {
@@ -111,14 +175,20 @@
 // takeList hands a list to the module, unless discovery has moved since it was called for.
 func (d *Desk) takeList(line *transport.Line, kind logic.ListKind, list *protocol.List) {
 	d.decide(func(now time.Duration) {
-		if d.list.line != line {
+		if !d.dated(line, kind, list) {
 			return
 		}
+		if line == d.list.old {
+			kind = logic.Changes
+		} else {
+			d.closeOld()
+			d.list.rev, d.list.has = list.Rev, true
+		}
 		var hosts []logic.Host
 		drains := false
 		was := d.list.targets()
 		if kind != logic.Changes {
-			d.list.addr, d.list.drains = map[logic.HostID]string{}, map[logic.HostID]bool{}
+			d.list.addr, d.list.drains = map[logic.HostID]string{}, map[logic.HostID]int64{}
 		}
 		for i := range list.Targets {
 			e := &list.Targets[i]
@@ -132,11 +202,10 @@
 				delete(d.list.addr, id)
 			}
 			if delete(d.list.drains, id); host.State == logic.Draining {
-				d.list.drains[id], drains = true, true
+				d.list.drains[id], drains = e.BootMS, true
 			}
 			hosts = append(hosts, host)
 		}
-		d.list.rev, d.list.has = list.Rev, true
 		for uid, id := range d.list.ids { // in any order: those of hosts that are gone are dropped
 			if _, listed := d.list.addr[id]; !listed {
 				delete(d.list.ids, uid)
@@ -177,7 +246,8 @@
 // takes tells whether a host is listed and does not drain.
 func (l *listing) takes(id logic.HostID) bool {
 	_, listed := l.addr[id]
-	return listed && !l.drains[id]
+	_, drains := l.drains[id]
+	return listed && !drains
 }
 
 func (l *listing) targets() map[transport.Target]bool {
