--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"spanmux/internal/protocol"
+	"spanmux/internal/transport"
 	"spanmux/logic"
 )
 
@@ -357,3 +358,29 @@
 	// known: 2
 	// known: 0 lost: 0
 }
+
+// A long message that its host does not take yet, on a connection that was idle, held up whoever began it: the timer with all that was due
+// beside it, or what other gateways tell.
+func Example_longMessageHoldsUpNobody() {
+	goOn, host := make(chan bool), logic.HostID(0)
+	s := playScripted(func(nc net.Conn, head *http.Request) {
+		if head.Method == "POST" {
+			<-goOn
+			io.Copy(io.Discard, head.Body)
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	s.ask("read", "go")
+	s.decide(func(time.Duration) { host = s.list.ids["scripted"] })
+	done := make(chan transport.How, 1)
+	s.decide(func(time.Duration) {
+		s.start(host, &transport.Exchange{Until: time.Now().Add(5 * time.Second), Done: func(how transport.How) { done <- how },
+			Message: func() net.Buffers {
+				return net.Buffers{[]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8388608\r\n\r\n"), bytesOf(8 * megabyte)}
+			},
+			Read: func(r *bufio.Reader) (bool, error) { _, err := http.ReadResponse(r, nil); return true, err }}, true)
+	})
+	goOn <- true
+	fmt.Println("answered:", <-done == transport.Answered, "on connections:", s.pool.Opened.Load())
+	// Output: answered: true on connections: 1
+}
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -56,7 +56,7 @@
 		h.exchange.Rest = func(r *transport.Rest) bool { return d.feeds(h, r, wait) }
 	}
 	d.Book.Hops.Add(1)
-	d.start(host, h.exchange)
+	d.start(host, h.exchange, len(t.said.Body) > protocol.BodyMost)
 }
 
 // wants tells whether a hop is still to be sent: somebody waits for its transaction, and its host takes what is new. A connection may
@@ -165,15 +165,18 @@
 
 var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
-// start begins an exchange with a host once the lock is left.
-func (d *Desk) start(host logic.HostID, x *transport.Exchange) {
+// start begins an exchange with a host once the lock is left. A long message may wait for its host to take it, and whoever is here then
+// has others to see to: the module's timer, or what gateways tell.
+func (d *Desk) start(host logic.HostID, x *transport.Exchange, long bool) {
 	to := d.list.target(host)
 	d.then(func() {
 		if to.Addr == "" {
 			x.Done(transport.NeverUp)
-			return
+		} else if long {
+			go d.pool.Start(to, x)
+		} else {
+			d.pool.Start(to, x)
 		}
-		d.pool.Start(to, x)
 	})
 }
 
@@ -225,5 +228,5 @@
 			}
 			d.decide(func(now time.Duration) { d.opened.Probed(now, host, load) })
 		},
-	})
+	}, false)
 }
