A 200 that is whole before its message is no longer goes to the client

Ruled out: messages held whole, which are written before an answer is read; a race with the last piece (Last writes it, and says so, under the lock that wasWhole takes). Line at fault: hop.end. It counts as never run now; a 4xx, which finds the message itself wrong, goes on as before. Not covered: such an answer over 64 KiB, which goes on as it comes (docs/endings.md).

--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -399,3 +399,26 @@
 	fmt.Println("lost:", s.Book.ListsLost.Load(), "in time:", time.Since(began) < 5*300*time.Millisecond)
 	// Output: lost: 5 in time: true
 }
+
+// A 200 that is whole before its message is was made for something else: nothing has run, and no client may have it. What a host finds
+// wrong with a message that it has only begun is an answer to that.
+func Example_answerBeforeMessage() {
+	for _, answer := range []string{"200 OK", "400 no"} {
+		s := playScripted(func(nc net.Conn, head *http.Request) {
+			io.WriteString(nc, "HTTP/1.1 "+answer+"\r\nContent-Length: 5\r\n\r\nstray")
+			io.Copy(io.Discard, nc)
+		})
+		s.large.Store(0) // no room to hold any
+		c := s.dial()
+		io.WriteString(c, strings.Replace(text("pay", "go", ""), "Length: 2", "Length: 100000", 1)+strings.Repeat("a", 50_000))
+		s.get(c, answer)
+		s.print()
+		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load(), "committed:", s.Book.Committed.Load())
+		c.Close()
+	}
+	// Output:
+	// 200 OK: 503 "rolled back", the last
+	// never ran: 1 committed: 0
+	// 400 no: 400 "stray", the last
+	// never ran: 0 committed: 0
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -22,7 +22,7 @@
 	switch {
 	case how != transport.Answered:
 		return endOf[how]
-	case h.answer.Status == 200:
+	case h.answer.Status == 200 && h.whole: // else it was made for another, as no host begins before the last byte
 		return logic.Committed
 	case h.answer.Declined:
 		return logic.Moot
