--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -245,7 +245,7 @@
 // How a watch ends says what is done next. One that falls silent, or is broken off, is had again at once: what it missed counts as told
 // 2 s after its wait, and a pause before that call used them up. One that is refused waits until the module asks.
 func Example_watchEnds() {
-	for _, end := range []string{"silence", "reset", "torn", "refusal"} {
+	for _, end := range []string{"silence", "dribbling", "reset", "torn", "refusal"} {
 		s, calls, first := play("one"), make(chan string, 9), make(chan time.Time, 1)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -277,6 +277,10 @@
 						io.WriteString(nc, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
 					case "silence":
 						continue
+					case "dribbling": // byte by byte, and never all
+						for _, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nX: "); err == nil; _, err = io.WriteString(nc, "x") {
+							time.Sleep(20 * time.Millisecond)
+						}
 					}
 					nc.Close()
 				}
@@ -290,6 +294,8 @@
 	// Output:
 	// silence /v1/endpoints /v1/endpoints?index=5&wait=3000
 	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
+	// dribbling /v1/endpoints /v1/endpoints?index=5&wait=3000
+	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
 	// reset /v1/endpoints /v1/endpoints?index=5&wait=3000
 	// /v1/endpoints?index=5&wait=3000 in time: true again at once: 1 for the module: 0
 	// torn /v1/endpoints /v1/endpoints?index=5&wait=3000
@@ -384,3 +390,66 @@
 	fmt.Println("answered:", <-done == transport.Answered, "on connections:", s.pool.Opened.Load())
 	// Output: answered: true on connections: 1
 }
+
+// What is pushed counts as told from the first moment of a process, and what discovery has at its return at once: the list is called for
+// as the gateway starts, and all the time while it can't be had. Else a second and more was lost, and the grace with it.
+func Example_pushed() {
+	pushed := strings.NewReplacer("subscribe", "automatic", `"askWithin"`, `"drainGrace":300000,"askWithin"`).Replace(settings)
+	s := playBy(pushed, "one")
+	began := time.Now()
+	for range 5 { // discovery is down
+		s.lists <- ""
+	}
+	s.lists <- `{"rev":5,"targets":[{"uid":"one","az":"a","state":"terminating"}]}`
+	s.untilRev(5)
+	fmt.Println("lost:", s.Book.ListsLost.Load(), "in time:", time.Since(began) < 5*300*time.Millisecond)
+	// Output: lost: 5 in time: true
+}
+
+// A 200 that is whole before its message is was made for something else: nothing has run, and no client may have it. What a host finds
+// wrong with a message that it has only begun is an answer to that.
+func Example_answerBeforeMessage() {
+	for _, answer := range []string{"200 OK", "400 no"} {
+		s := playScripted(func(nc net.Conn, head *http.Request) {
+			io.WriteString(nc, "HTTP/1.1 "+answer+"\r\nContent-Length: 5\r\n\r\nstray")
+			io.Copy(io.Discard, nc)
+		})
+		s.large.Store(0) // no room to hold any
+		c := s.dial()
+		io.WriteString(c, strings.Replace(text("pay", "go", ""), "Length: 2", "Length: 100000", 1)+strings.Repeat("a", 50_000))
+		s.get(c, answer)
+		s.print()
+		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load(), "committed:", s.Book.Committed.Load())
+		c.Close()
+	}
+	// Output:
+	// 200 OK: 503 "rolled back", the last
+	// never ran: 1 committed: 0
+	// 400 no: 400 "stray", the last
+	// never ran: 0 committed: 0
+}
+
+// A gateway that ends sends nothing on for a client that leaves meanwhile, and answers the one that stays.
+func Example_leavesDuringTheEnd() {
+	s := playGated(false, "one")
+	goes, stays := s.dial(), s.dial()
+	io.WriteString(goes, text("pay", "goes", ""))
+	<-s.dials
+	io.WriteString(stays, text("pay", "stays", ""))
+	<-s.dials
+	ended := make(chan bool)
+	go func() { s.Close(); close(ended) }()
+	s.until("the end", s.closing.Load)
+	goes.Close()
+	s.untilLeft(1)
+	s.gate <- true
+	s.gate <- true
+	s.get(stays, "stays")
+	<-ended
+	s.print()
+	fmt.Println("written:", s.Book.Written.Load(), "open:", s.Book.Open.Load())
+	// Output:
+	// one: POST /pay?stays "hi"
+	// stays: 200 "answer to stays", the last
+	// written: 1 open: 0
+}
