--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -453,3 +454,27 @@
 	// stays: 200 "answer to stays", the last
 	// written: 1 open: 0
 }
+
+// Settings that make no sense have an outcome: each transaction gets one answer, none runs twice, and nothing stops.
+func Example_settingsOfZero() {
+	for _, key := range []string{"serviceGoal", "hardLimit", "window", "mostHops", "revenue", "warmUp", "tipAfter", "fallMultiple", "coldFrom",
+		"connectTimeout", "connIdle", "maxRetryAfter"} {
+		for _, value := range []string{"0", "-5"} {
+			odd := regexp.MustCompile(`"`+key+`":[0-9.]+`).ReplaceAllString(settings, `"`+key+`":`+value)
+			s := playBy(odd, "one", "two")
+			for _, profile := range []string{"read", "order", "pay"} {
+				s.ask(profile, "go")
+				s.ask(profile, "error")
+			}
+			s.until("none open", func() bool { return s.Book.Open.Load() == 0 })
+			answers, said := 0, fmt.Sprint(s.lines)
+			for _, status := range []string{": 200", ": 503", ": 504"} {
+				answers += strings.Count(said, status)
+			}
+			if answers != 6 || strings.Count(said, "POST /pay?error") > 1 || s.never() {
+				fmt.Println(key, value, said)
+			}
+		}
+	}
+	// Output:
+}
