A connection that falls idle as its host is gone is closed at once

Seen with a host that answers after the list dropped it: takeList closes what is idle then, and module's Release finds no address any more, so the connection was parked and stood for half of connIdle at a machine that is gone, past what closeOnDrainWithin allows where that is said. Ruled out: hosts that drain, which the module releases as the hop ends (Example_drainCloses). Lines at fault: Desk.Release and takeList look at the list as it is, not as it was when the hop went. Change: a hop and a probe know the address they went to. Example_goneWhileOut fails without it.

--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -478,3 +478,29 @@
 	}
 	// Output:
 }
+
+// A connection on which a hop was out as its host went from the list fell idle after that, and stood until it had been idle for long.
+func Example_goneWhileOut() {
+	goOn, closed := make(chan bool), make(chan bool)
+	s := playScripted(func(nc net.Conn, head *http.Request) {
+		s := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		<-goOn
+		io.WriteString(nc, s)
+		nc.Read(make([]byte, 1))
+		close(closed)
+	})
+	c := s.dial()
+	defer c.Close()
+	io.WriteString(c, text("pay", "go", ""))
+	s.until("out", func() bool { return s.Book.Written.Load() == 1 })
+	s.takeList(s.list.line, logic.Changes, &protocol.List{Rev: 6, Targets: []protocol.Entry{{UID: "scripted", Zone: "a", State: "terminated"}}})
+	goOn <- true
+	s.get(c, "pay")
+	select {
+	case <-closed:
+	case <-time.After(time.Second): // half of what hosts keep idle is two
+		s.say("kept")
+	}
+	s.print()
+	// Output: pay: 200 ""
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -54,6 +54,7 @@
 	d.decide(func(now time.Duration) {
 		t := h.t
 		t.out--
+		d.closeGone(h.to)
 		d.Book.Ends[end].Add(1)
 		switch {
 		case t.answered || end != logic.Committed && end != logic.Moot:
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -17,6 +17,7 @@
 type hop struct {
 	t        *tx
 	host     logic.HostID
+	to       transport.Target
 	number   int
 	sent     time.Time
 	exchange *transport.Exchange
@@ -28,7 +29,7 @@
 // Hop sends the transaction. A host whose address is not known can't be reached.
 func (d *Desk) Hop(id logic.TxID, host logic.HostID, wait time.Duration) {
 	t := d.txs[id]
-	h := &hop{t: t, host: host, number: len(t.hops), sent: time.Now()}
+	h := &hop{t: t, host: host, to: d.list.target(host), number: len(t.hops), sent: time.Now()}
 	t.hops = append(t.hops, h)
 	t.out++
 	until := h.sent.Add(wait)
@@ -196,6 +197,13 @@
 	}
 }
 
+// closeGone closes what is idle to a host that has gone from the list: what was out there as that was told has just fallen idle.
+func (d *Desk) closeGone(to transport.Target) {
+	if d.list.target(logic.HostID(to.Host)) != to {
+		d.then(func() { d.pool.Close(to) })
+	}
+}
+
 func (d *Desk) Release(host logic.HostID) {
 	to := d.list.target(host)
 	d.then(func() { d.pool.Close(to) })
@@ -204,9 +212,9 @@
 func (d *Desk) Probe(host logic.HostID) {
 	d.Book.Probes.Add(1)
 	load, reported := logic.NoLoad, false
-	addr := d.list.addr[host]
+	to := d.list.target(host)
 	d.start(host, &transport.Exchange{
-		Message: func() net.Buffers { return protocol.Call(protocol.LoadTarget, addr) },
+		Message: func() net.Buffers { return protocol.Call(protocol.LoadTarget, to.Addr) },
 		Until:   time.Now().Add(probeWithin),
 		Read: func(r *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
@@ -226,7 +234,10 @@
 			} else {
 				load = logic.NoLoad
 			}
-			d.decide(func(now time.Duration) { d.opened.Probed(now, host, load) })
+			d.decide(func(now time.Duration) {
+				d.closeGone(to)
+				d.opened.Probed(now, host, load)
+			})
 		},
 	}, false)
 }
