A long 200 that comes before its message is whole does not go on either

It asks the exchange whether its last byte was written (Whole, under the connection's lock) and ends the hop as never run. A connection with a streamed answer from a host that has gone closes as others do.

--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -410,9 +410,13 @@
 // A 200 that is whole before its message is was made for something else: nothing has run, and no client may have it. What a host finds
 // wrong with a message that it has only begun is an answer to that.
 func Example_answerBeforeMessage() {
-	for _, answer := range []string{"200 OK", "400 no"} {
+	for _, answer := range []string{"200 OK", "200 long", "400 no"} {
 		s := playScripted(func(nc net.Conn, head *http.Request) {
-			io.WriteString(nc, "HTTP/1.1 "+answer+"\r\nContent-Length: 5\r\n\r\nstray")
+			stray := "stray"
+			if answer == "200 long" { // it goes on as it comes
+				stray = strings.Repeat(stray, 14_000)
+			}
+			fmt.Fprintf(nc, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", answer, len(stray), stray)
 			io.Copy(io.Discard, nc)
 		})
 		s.large.Store(0) // no room to hold any
@@ -420,14 +424,16 @@
 		io.WriteString(c, strings.Replace(text("pay", "go", ""), "Length: 2", "Length: 100000", 1)+strings.Repeat("a", 50_000))
 		s.get(c, answer)
 		s.print()
-		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load(), "committed:", s.Book.Committed.Load())
+		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load()+s.Book.Ends[logic.NoConnection].Load(), "streamed:", s.Book.Streamed.Load(), "committed:", s.Book.Committed.Load())
 		c.Close()
 	}
 	// Output:
 	// 200 OK: 503 "rolled back", the last
-	// never ran: 1 committed: 0
+	// never ran: 1 streamed: 0 committed: 0
+	// 200 long: 503 "rolled back", the last
+	// never ran: 1 streamed: 0 committed: 0
 	// 400 no: 400 "stray", the last
-	// never ran: 0 committed: 0
+	// never ran: 0 streamed: 0 committed: 0
 }
 
 // A gateway that ends sends nothing on for a client that leaves meanwhile, and answers the one that stays.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -49,6 +49,7 @@
 		}
 	}
 	if h.streamed { // the module knows
+		d.decide(func(time.Duration) { d.closeGone(h.to) })
 		return
 	}
 	d.decide(func(now time.Duration) {
@@ -121,12 +122,18 @@
 	t.client.Look()
 }
 
-var errNobodyWaits = errors.New("nobody waits for the answer")
+var (
+	errNobodyWaits = errors.New("nobody waits for the answer")
+	errEarly       = errors.New("answered before it had the message") // by its host, or for another
+)
 
 // stream passes on an answer over the usual size as it comes: its head is sound. From here on the transaction is its host's, and no
 // other hop can answer it; what breaks it off now its client can tell.
 func (d *Desk) stream(h *hop, a *protocol.Answer, rest *protocol.Body) error {
 	t, heard := h.t, false
+	if a.Status == 200 && !h.exchange.Whole() {
+		return errEarly
+	}
 	d.decide(func(now time.Duration) {
 		if t.answered {
 			return
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -44,11 +44,14 @@
 	given bool
 	begun bool // the last byte is written, or about to be
 	stop  func()
-	nc    net.Conn // from when the message is written
+	c     *hostConn // from when the message is written
 }
 
 // Within has what is read next of an answer that goes on come within a time.
-func (x *Exchange) Within(d time.Duration) { x.nc.SetReadDeadline(time.Now().Add(d)) }
+func (x *Exchange) Within(d time.Duration) { x.c.nc.SetReadDeadline(time.Now().Add(d)) }
+
+// Whole tells, as its answer is read, whether the last byte of the message was written; if not, it never is.
+func (x *Exchange) Whole() bool { return x.c.wasWhole() }
 
 // Rest writes what is left of a message.
 type Rest struct {
@@ -330,7 +333,7 @@
 		return false
 	}
 	must.Hold(c.out == nil, "one exchange a connection")
-	c.out, c.whole, x.nc = x, false, c.nc
+	c.out, c.whole, x.c = x, false, c
 	c.nc.SetDeadline(x.Until)
 	if !x.stopBy(func() { c.nc.Close() }) {
 		c.nc.Close() // its goroutine ends the exchange
--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -206,7 +206,7 @@
 }
 
 // Host is the connection of an exchange whose answer goes on.
-func (x *Exchange) Host() net.Conn { return x.nc }
+func (x *Exchange) Host() net.Conn { return x.c.nc }
 
 // Adopt takes in a client's connection that another process had; handle begins within an answer on it.
 func (f *Front) Adopt(nc net.Conn, handle func(*Client)) {
