--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -409,9 +410,13 @@
 // A 200 that is whole before its message is was made for something else: nothing has run, and no client may have it. What a host finds
 // wrong with a message that it has only begun is an answer to that.
 func Example_answerBeforeMessage() {
-	for _, answer := range []string{"200 OK", "400 no"} {
+	for _, answer := range []string{"200 OK", "200 long", "400 no"} {
 		s := playScripted(func(nc net.Conn, head *http.Request) {
-			io.WriteString(nc, "HTTP/1.1 "+answer+"\r\nContent-Length: 5\r\n\r\nstray")
+			stray := "stray"
+			if answer == "200 long" { // it goes on as it comes
+				stray = strings.Repeat(stray, 14_000)
+			}
+			fmt.Fprintf(nc, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", answer, len(stray), stray)
 			io.Copy(io.Discard, nc)
 		})
 		s.large.Store(0) // no room to hold any
@@ -419,14 +424,16 @@
 		io.WriteString(c, strings.Replace(text("pay", "go", ""), "Length: 2", "Length: 100000", 1)+strings.Repeat("a", 50_000))
 		s.get(c, answer)
 		s.print()
-		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load(), "committed:", s.Book.Committed.Load())
+		fmt.Println("never ran:", s.Book.Ends[logic.Full].Load()+s.Book.Ends[logic.NoConnection].Load(), "streamed:", s.Book.Streamed.Load(), "committed:", s.Book.Committed.Load())
 		c.Close()
 	}
 	// Output:
 	// 200 OK: 503 "rolled back", the last
-	// never ran: 1 committed: 0
+	// never ran: 1 streamed: 0 committed: 0
+	// 200 long: 503 "rolled back", the last
+	// never ran: 1 streamed: 0 committed: 0
 	// 400 no: 400 "stray", the last
-	// never ran: 0 committed: 0
+	// never ran: 0 streamed: 0 committed: 0
 }
 
 // A gateway that ends sends nothing on for a client that leaves meanwhile, and answers the one that stays.
@@ -453,3 +460,53 @@
 	// stays: 200 "answer to stays", the last
 	// written: 1 open: 0
 }
+
+// Settings that make no sense have an outcome: each transaction gets one answer, none runs twice, and nothing stops.
+func Example_settingsOfZero() {
+	for _, key := range []string{"serviceGoal", "hardLimit", "window", "mostHops", "revenue", "warmUp", "tipAfter", "fallMultiple", "coldFrom",
+		"connectTimeout", "connIdle", "maxRetryAfter"} {
+		for _, value := range []string{"0", "-5"} {
+			odd := regexp.MustCompile(`"`+key+`":[0-9.]+`).ReplaceAllString(settings, `"`+key+`":`+value)
+			s := playBy(odd, "one", "two")
+			for _, profile := range []string{"read", "order", "pay"} {
+				s.ask(profile, "go")
+				s.ask(profile, "error")
+			}
+			s.until("none open", func() bool { return s.Book.Open.Load() == 0 })
+			answers, said := 0, fmt.Sprint(s.lines)
+			for _, status := range []string{": 200", ": 503", ": 504"} {
+				answers += strings.Count(said, status)
+			}
+			if answers != 6 || strings.Count(said, "POST /pay?error") > 1 || s.never() {
+				fmt.Println(key, value, said)
+			}
+		}
+	}
+	// Output:
+}
+
+// A connection on which a hop was out as its host went from the list fell idle after that, and stood until it had been idle for long.
+func Example_goneWhileOut() {
+	goOn, closed := make(chan bool), make(chan bool)
+	s := playScripted(func(nc net.Conn, head *http.Request) {
+		s := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		<-goOn
+		io.WriteString(nc, s)
+		nc.Read(make([]byte, 1))
+		close(closed)
+	})
+	c := s.dial()
+	defer c.Close()
+	io.WriteString(c, text("pay", "go", ""))
+	s.until("out", func() bool { return s.Book.Written.Load() == 1 })
+	s.takeList(s.list.line, logic.Changes, &protocol.List{Rev: 6, Targets: []protocol.Entry{{UID: "scripted", Zone: "a", State: "terminated"}}})
+	goOn <- true
+	s.get(c, "pay")
+	select {
+	case <-closed:
+	case <-time.After(time.Second): // half of what hosts keep idle is two
+		s.say("kept")
+	}
+	s.print()
+	// Output: pay: 200 ""
+}
