--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -992,20 +992,28 @@
 // Few gateways that see their own hops alone bear the less crowd at a host the more of them a zone has: each that went by its own
 // count sent as much as one alone might, and hosts turned slow one after the other.
 func Example_unseenBeside() {
-	for _, gateways := range []int{2, 4, 16} {
-		s := startAmong(gateways, 1, logic.Sources{AskWithin: 10 * time.Second}, []logic.Profile{read}, nil, host(1, "a", 1))
-		s.answered(1, 20, 0)
-		before := s.hopsTo[1]
-		s.quiet = true
-		for id := range 9 {
-			s.take(100+id, 0, -1)
+	for _, from := range []logic.Sources{{AskWithin: 10 * time.Second}, {AskWithin: 10 * time.Second, Probes: true}} {
+		for _, gateways := range []int{2, 4, 16} {
+			s := startAmong(gateways, 1, from, []logic.Profile{read}, nil, host(1, "a", 1))
+			if from.Probes { // a probe a second shows slots, and what others hold at that moment only
+				s.Probed(s.now, 1, logic.Load{Held: 3, Waiting: 1, Busy: -1, Rate: -1, Took: -1})
+			}
+			s.answered(1, 20, 0)
+			before := s.hopsTo[1]
+			s.quiet = true
+			for id := range 9 {
+				s.take(100+id, 0, -1)
+			}
+			fmt.Println("probed:", from.Probes, "gateways:", gateways, "hops out at the host:", s.hopsTo[1]-before)
 		}
-		fmt.Println("gateways:", gateways, "hops out at the host:", s.hopsTo[1]-before)
 	}
 	// Output:
-	// gateways: 2 hops out at the host: 3
-	// gateways: 4 hops out at the host: 2
-	// gateways: 16 hops out at the host: 1
+	// probed: false gateways: 2 hops out at the host: 3
+	// probed: false gateways: 4 hops out at the host: 2
+	// probed: false gateways: 16 hops out at the host: 1
+	// probed: true gateways: 2 hops out at the host: 4
+	// probed: true gateways: 4 hops out at the host: 3
+	// probed: true gateways: 16 hops out at the host: 2
 }
 
 // Such a gateway keeps to few hosts of its zone, others of their own to each, and learns of them; one that makes no connection is left
--- a/logic/state.go
+++ b/logic/state.go
@@ -331,9 +331,9 @@
 // byZone tells whether it judges zones, as it knows too little of any one host in time.
 func (b *Balancer) byZone() bool { return b.sized() || b.blind() }
 
-// lone tells whether this is one of few that learn of hosts by the ends of their own hops alone.
+// lone tells whether this is one of few that learn of hosts by the ends of their own hops, and by a probe now and then.
 func (b *Balancer) lone() bool {
-	return b.place.Gateways <= fewGateways && !b.from.Tells && !b.from.Reports && !b.from.Probes
+	return b.place.Gateways <= fewGateways && !b.from.Tells && !b.from.Reports
 }
 
 // feel takes in what a hop took, of what it takes at a free host. What a profile feels those that earn less feel alike; of those that
