Reread: pieces written twice made one, a lock and a look-up less for each transaction

Client.Watch repeated the look of tx.over; it takes that now. Whole took the front's lock twice, as becomes had it already. wasGiven stood beside stopBy, which says the same and drops the stop. hostConn.send closed in two like branches. Desk.start looked up the target that hop and probe know. Looked for and not found: two tests that say the same; each forces another order.

--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -381,7 +381,7 @@
 	s.decide(func(time.Duration) { host = s.list.ids["scripted"] })
 	done := make(chan transport.How, 1)
 	s.decide(func(time.Duration) {
-		s.start(host, &transport.Exchange{Until: time.Now().Add(5 * time.Second), Done: func(how transport.How) { done <- how },
+		s.start(s.list.target(host), &transport.Exchange{Until: time.Now().Add(5 * time.Second), Done: func(how transport.How) { done <- how },
 			Message: func() net.Buffers {
 				return net.Buffers{[]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8388608\r\n\r\n"), bytesOf(8 * megabyte)}
 			},
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -57,7 +57,7 @@
 		h.exchange.Rest = func(r *transport.Rest) bool { return d.feeds(h, r, wait) }
 	}
 	d.Book.Hops.Add(1)
-	d.start(host, h.exchange, len(t.said.Body) > protocol.BodyMost)
+	d.start(h.to, h.exchange, len(t.said.Body) > protocol.BodyMost)
 }
 
 // wants tells whether a hop is still to be sent: somebody waits for its transaction, and its host takes what is new. A connection may
@@ -168,8 +168,7 @@
 
 // start begins an exchange with a host once the lock is left. A long message may wait for its host to take it, and whoever is here then
 // has others to see to: the module's timer, or what gateways tell.
-func (d *Desk) start(host logic.HostID, x *transport.Exchange, long bool) {
-	to := d.list.target(host)
+func (d *Desk) start(to transport.Target, x *transport.Exchange, long bool) {
 	d.then(func() {
 		if to.Addr == "" {
 			x.Done(transport.NeverUp)
@@ -213,7 +212,7 @@
 	d.Book.Probes.Add(1)
 	load, reported := logic.NoLoad, false
 	to := d.list.target(host)
-	d.start(host, &transport.Exchange{
+	d.start(to, &transport.Exchange{
 		Message: func() net.Buffers { return protocol.Call(protocol.LoadTarget, to.Addr) },
 		Until:   time.Now().Add(probeWithin),
 		Read: func(r *bufio.Reader) (keep bool, err error) {
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -63,7 +63,7 @@
 	}
 	// While hops are out the connection is watched, as its end is all that a client that leaves says. The
 	// answer is written by whoever has it.
-	if c.Watch(t.settled) != nil {
+	if c.Watch(t.over) != nil {
 		if !d.left(t) {
 			<-t.settled
 		}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -229,8 +229,10 @@
 		c.front.idle--
 	}
 	c.doing, c.since = doing, time.Now()
-	c.spoke = c.spoke || doing == owed
-	if doing == idle {
+	switch doing {
+	case owed:
+		c.spoke, c.early = true, c.R.Buffered() > 0
+	case idle:
 		c.front.idle++
 	}
 	return !c.shut
@@ -368,9 +370,6 @@
 	c.dropKept()
 	c.nc.SetReadDeadline(time.Time{})
 	open := c.becomes(owed)
-	c.front.mu.Lock()
-	c.early = c.R.Buffered() > 0
-	c.front.mu.Unlock()
 	if c.Over && c.front.enter() {
 		c.Over = false
 		c.front.mu.Lock()
@@ -385,7 +384,7 @@
 // Watch waits until the client closes, or the message is settled and the next one comes; it is whole now. What comes before that waits its
 // turn, and its client may close all the same. Once the message is answered, be it that the client says nothing, the connection is idle, and
 // closed as such: counted as busy until the next message, those of clients that ask once would take all room for good.
-func (c *Client) Watch(settled <-chan struct{}) error {
+func (c *Client) Watch(settled func() bool) error {
 	if c.R.Buffered() == 0 {
 		c.release()
 		err := c.see.wait()
@@ -396,14 +395,7 @@
 			return err
 		}
 	}
-	if !c.Stays(func() bool {
-		select {
-		case <-settled:
-			return true
-		default:
-			return false
-		}
-	}) {
+	if !c.Stays(settled) {
 		return io.EOF
 	}
 	return nil
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -116,12 +116,6 @@
 	return x.begun
 }
 
-func (x *Exchange) wasGiven() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.given
-}
-
 func (x *Exchange) wanted() bool { return x.Wanted == nil || x.Wanted() }
 
 // stopBy says how the exchange is stopped from now on; it is false if that is due already.
@@ -287,10 +281,10 @@
 	nc, err := p.Up(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.room.Leave()
-		if x.wasGiven() {
-			x.Done(Withdrawn)
-		} else {
+		if x.stopBy(nil) {
 			x.Done(NeverUp)
+		} else {
+			x.Done(Withdrawn)
 		}
 		return
 	}
@@ -335,14 +329,10 @@
 	must.Hold(c.out == nil, "one exchange a connection")
 	c.out, c.whole, x.c = x, false, c
 	c.nc.SetDeadline(x.Until)
-	if !x.stopBy(func() { c.nc.Close() }) {
+	if !x.stopBy(func() { c.nc.Close() }) || x.Rest == nil && !x.begin() {
 		c.nc.Close() // its goroutine ends the exchange
 		return true
 	}
-	if x.Rest == nil && !x.begin() {
-		c.nc.Close()
-		return true
-	}
 	message := x.Message()
 	_, err := message.WriteTo(c.nc)
 	switch {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -167,8 +167,6 @@
 		panic(err)
 	}
 	f := Listen(ln, room, most, 1)
-	settled := make(chan struct{})
-	close(settled)
 	go f.Serve(func(c *Client) {
 		for c.Await() == nil {
 			line, err := c.R.ReadString('\n')
@@ -178,7 +176,7 @@
 				c.Write(net.Buffers{[]byte("no room\n")})
 				return
 			} else if line == "stay\n" {
-				c.Watch(settled)
+				c.Watch(func() bool { return true })
 			}
 			c.Write(net.Buffers{[]byte("ok\n")})
 		}
