--- a/tools/regress/panel.go
+++ b/tools/regress/panel.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 )
 
 // panel is one set of days that is played in one call.
@@ -13,6 +14,8 @@
 	bin  string              // below the kit's folder
 	also []string            // words after the site
 	sims func(*cli) []string // the simulator's sites that it plays, each with a figure of its own; nil on sockets
+	// seeded ones are played once for each seed; gate and rules count there, and the figure, of another day each time, is only shown.
+	seeded bool
 }
 
 var panels = []panel{
@@ -20,6 +23,7 @@
 	{name: "ops", bin: "more/ops/bin/lbreal"},
 	{name: "later", bin: "more/ops/bin/lbreal", also: []string{"--panel", "later"}},
 	{name: "mass", bin: "more/mass/bin/lbreal"},
+	{name: "brink", bin: "more/mass/bin/lbreal", also: []string{"--panel", "brink"}, seeded: true},
 	{name: "sim", bin: "more/move/bin/lbsim", sims: func(c *cli) []string { return c.SimSite }},
 	{name: "more", bin: "bin/lbsim", sims: func(c *cli) []string { return c.MoreSite }},
 }
@@ -41,15 +45,25 @@
 
 func (p panel) program(bench string) string { return filepath.Join(bench, p.bin) }
 
-func (p panel) words(c *cli) []string {
+func (p panel) words(c *cli, seed int64) []string {
 	words := append([]string{"score"}, p.sites(c)...)
 	words = append(words, p.also...)
-	if c.Quick {
+	if p.seeded {
+		words = append(words, "--seed", strconv.FormatInt(seed, 10))
+	} else if c.Quick {
 		words = append(words, "--quick")
 	}
 	return append(words, "--why", c.Why)
 }
 
+// seeds is what a panel is played with, one call each.
+func (p panel) seeds(c *cli) []int64 {
+	if p.seeded {
+		return c.Seed
+	}
+	return []int64{0}
+}
+
 // sites is what a panel plays.
 func (p panel) sites(c *cli) []string {
 	if p.sims != nil {
@@ -72,7 +86,7 @@
 		all = append(all, panels[i])
 	}
 	if len(c.Panels) == 0 {
-		all = slices.DeleteFunc(slices.Clone(panels), func(p panel) bool { return len(p.sites(c)) == 0 })
+		all = slices.DeleteFunc(slices.Clone(panels), func(p panel) bool { return len(p.sites(c)) == 0 || len(p.seeds(c)) == 0 })
 	}
 	sites := []string{}
 	for _, p := range all {
@@ -82,6 +96,9 @@
 		if len(p.sites(c)) == 0 {
 			return nil, fmt.Errorf("panel %s: no --%s-site", p.name, p.name)
 		}
+		if len(p.seeds(c)) == 0 {
+			return nil, fmt.Errorf("panel %s: no --seed", p.name)
+		}
 		sites = append(sites, p.sites(c)...)
 	}
 	for _, site := range sites {
--- a/tools/regress/record.go
+++ b/tools/regress/record.go
@@ -82,6 +82,7 @@
 	r     reading
 	known bool
 	held  float64
+	shown bool // its figure is neither held nor recorded
 }
 
 // hold compares what was read with what is held under the key.
@@ -104,6 +105,7 @@
 	for _, r := range rows {
 		h := b.Held[r.key]
 		switch {
+		case r.shown:
 		case len(r.r.Broken) > 0:
 			moved = append(moved, fmt.Sprintf("%s: not recorded, a rule or gate is broken", r.key))
 		case h == nil:
@@ -132,8 +134,8 @@
 		}
 		if r.known {
 			against = fmt.Sprintf("%.3f", r.held)
-		} else {
-			outcome = "first"
+		} else if outcome = "first"; r.shown {
+			outcome = "kept"
 		}
 		switch {
 		case len(r.r.Broken) > 0:
--- a/tools/regress/regress_test.go
+++ b/tools/regress/regress_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -182,7 +183,7 @@
 	// score of the real nodes 0.9
 	// score of the real nodes 0.9
 	// -> service-quick: not played to its end: context deadline exceeded
-	// -> no panel "nothing"; there are [service ops later mass sim more]
+	// -> no panel "nothing"; there are [service ops later mass brink sim more]
 	// -> panel sim: no --sim-site
 	// -> no site file at DIR/site.tomlx
 	// -> panel ops: no bench at DIR/more/ops/more/ops/bin/lbreal
@@ -240,3 +241,32 @@
 	// false false  docs/record.toml [] [] missing flags: --site=STRING
 	// false false   [] [] unknown flag --fast
 }
+
+// Days at close range are played seed by seed; gate and rules count, whatever the record has, and no figure is recorded.
+func Example_brink() {
+	b := newBench()
+	defer os.RemoveAll(b.dir)
+	seeds := func(c *cli) { c.Seed, c.Raise = []int64{4101, 4102}, true }
+	b.prints("brink", fmt.Sprintf(gated, "passed"))
+	b.run(seeds, "brink")
+	b.prints("brink", fmt.Sprintf(gated, "failed, join+brink: drain"))
+	b.run(seeds, "brink")
+	b.prints("brink", good)
+	b.run(func(c *cli) { c.Seed = []int64{7} }, "brink")
+	b.run(nil, "brink")
+	calls, _ := os.ReadFile(filepath.Join(b.dir, "calls"))
+	fmt.Print(strings.ReplaceAll(string(calls[:bytes.IndexByte(calls, '\n')+1]), b.dir, "DIR"))
+	text, _ := os.ReadFile(filepath.Join(b.dir, "record.toml"))
+	fmt.Println("recorded:", strings.Contains(string(text), "brink"))
+	// Output:
+	// | brink-4101 | 0.875 | none | passed | kept | calm+mass 0.95 |
+	// | brink-4102 | 0.875 | none | passed | kept | calm+mass 0.95 |
+	// | brink-4101 | 0.875 | none | failed | BROKEN: GATE failed, join+brink: drain | calm+mass 0.95 |
+	// | brink-4102 | 0.875 | none | failed | BROKEN: GATE failed, join+brink: drain | calm+mass 0.95 |
+	// -> regression
+	// | brink-7 | 0.961 | none | - | BROKEN: no word of the gate | upgrade 0.96 |
+	// -> regression
+	// -> panel brink: no --seed
+	// score DIR/site.toml --panel brink --seed 4101 --why A test
+	// recorded: false
+}
