--- a/internal/given/opening.go
+++ b/internal/given/opening.go
@@ -50,6 +50,7 @@
 		ColdFrom     float64 `json:"coldFrom"`
 		FallMultiple float64 `json:"fallMultiple"`
 		TipAfter     int64   `json:"tipAfter"`
+		DrainGrace   int64   `json:"drainGrace"`
 		WarmUp       int64   `json:"warmUp"`
 		CloseWithin  int64   `json:"closeOnDrainWithin"`
 		BudgetError  int64   `json:"budgetError"`
@@ -97,6 +98,8 @@
 	Longest           time.Duration // the longest hard limit
 	ConnIdle          time.Duration // after which hosts close an idle connection
 	ConnectWithin     time.Duration // a connection not up by then is given up
+	Pushed            bool          // changes of the list come by themselves, and count as told whether or not they are heard
+	Grace             time.Duration // for what is sent to a host that drains or is gone
 	ask               time.Duration
 	place             logic.Place
 	own               bool // of the shape with a gateway for each client process
@@ -115,6 +118,8 @@
 type rules struct {
 	profiles []logic.Profile
 	longest  time.Duration
+	grace    time.Duration
+	pushed   bool
 	tenants  []logic.Tenant
 	cold     logic.ColdRule
 	drains   logic.DrainRule
@@ -180,7 +185,8 @@
 		Sizes:     sizes[o.Weights],
 		Reports:   o.Report.Via == "answers",
 		AskWithin: ask}
-	if o.Discovery == "subscribe" {
+	r.grace, r.pushed = micros(o.Obligations.DrainGrace), o.Discovery != "subscribe"
+	if !r.pushed {
 		r.from.AskWithin = micros(o.Obligations.AskWithin)
 	}
 	return r, nil
--- a/internal/given/retune.go
+++ b/internal/given/retune.go
@@ -181,6 +181,7 @@
 		known[i].Dropped = true
 	}
 	o.Profiles, o.Tenants, o.marked, o.Longest = map[string]int{}, map[string]int{}, map[uint16]int{}, r.longest
+	o.Pushed, o.Grace = r.pushed, r.grace
 	for i, p := range known { // those in force win
 		o.marked[markOf(p.Name)] = i
 	}
--- a/internal/routing/bounds.go
+++ b/internal/routing/bounds.go
@@ -14,6 +14,7 @@
 	watchMost    = 20 * time.Second        // of that, however many there are
 	listLate     = time.Second             // after which a call that waits counts as lost, over that: what it missed counts as told a second later
 	callLate     = 1500 * time.Millisecond // the same for one that does not wait: discovery works through calls in turn
+	gracePart    = 4                       // of a drain's grace, between calls for a list that is pushed while it can't be had
 	hurry        = 100 * time.Millisecond  // before the next call where one brought nothing: within the 200 ms of a watch
 	usualSockets = 1024                    // what a process may have open where nothing is said of it
 	usualMemory  = 64 << 20                // bytes that a process may use, ditto
--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -384,3 +384,18 @@
 	fmt.Println("answered:", <-done == transport.Answered, "on connections:", s.pool.Opened.Load())
 	// Output: answered: true on connections: 1
 }
+
+// What is pushed counts as told from the first moment of a process, and what discovery has at its return at once: the list is called for
+// as the gateway starts, and all the time while it can't be had. Else a second and more was lost, and the grace with it.
+func Example_pushed() {
+	pushed := strings.NewReplacer("subscribe", "automatic", `"askWithin"`, `"drainGrace":300000,"askWithin"`).Replace(settings)
+	s := playBy(pushed, "one")
+	began := time.Now()
+	for range 5 { // discovery is down
+		s.lists <- ""
+	}
+	s.lists <- `{"rev":5,"targets":[{"uid":"one","az":"a","state":"terminating"}]}`
+	s.untilRev(5)
+	fmt.Println("lost:", s.Book.ListsLost.Load(), "in time:", time.Since(began) < 5*300*time.Millisecond)
+	// Output: lost: 5 in time: true
+}
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -107,6 +107,11 @@
 	if known != nil && len(known.Targets) > 0 {
 		d.takeList(d.list.line, logic.Cached, known)
 	}
+	d.decide(func(time.Duration) {
+		if d.opened.Pushed { // what is pushed counts as told from the first moment
+			d.AskList()
+		}
+	})
 }
 
 // Serve takes in clients until Close. Of a listener that is shared nothing is taken before it can be answered.
--- a/internal/routing/watch.go
+++ b/internal/routing/watch.go
@@ -126,15 +126,10 @@
 			continue
 		}
 		if err != nil {
-			d.decide(func(now time.Duration) {
-				if d.list.line == line {
-					d.list.watching = false
-					d.Book.ListsLost.Add(1)
-					d.then(func() { slog.Warn("list lost", "error", err) })
-					d.opened.List(now, logic.Lost, nil)
-				}
-			})
-			return
+			if d.lost(line, err) {
+				return
+			}
+			continue
 		}
 		kind := logic.Changes
 		if list.All {
@@ -147,6 +142,29 @@
 	}
 }
 
+// lost notes that a call is, and tells whether it is for the module to say when the next is due. Of a list that is pushed what comes at
+// discovery's return counts at once: it is called for all the time.
+func (d *Desk) lost(line *transport.Line, err error) (over bool) {
+	pause := time.Duration(0)
+	d.decide(func(now time.Duration) {
+		if over = d.list.line != line || !d.opened.Pushed; d.list.line == line {
+			d.list.watching = !over
+			d.Book.ListsLost.Add(1)
+			if d.Book.lines.allows() {
+				d.then(func() { slog.Warn("list lost", "error", err) })
+			}
+			if over {
+				d.opened.List(now, logic.Lost, nil)
+			}
+		}
+		pause = max(d.opened.Grace/gracePart, hurry)
+	})
+	if !over {
+		time.Sleep(pause)
+	}
+	return over
+}
+
 // cutOff tells whether a call was answered by nobody: it fell silent, or its connection ended.
 func cutOff(err error) bool {
 	var call *net.OpError
