A reset within an answer of no length is no longer taken for its proper end

Reported: zone+brink+mass, requests taken that ended with no whole answer. Cause: while a host drains its answers are read ahead (handover.go readAhead), after a look whether more has come (ready.go look, a receive with MSG_PEEK). A receive takes the pending error of a connection with it even if it only peeks (tcp_recvmsg, sock_error), so the next read found end of file, which is the proper end of an answer that says neither length nor chunks; the client got its last chunk. Change: any() asks poll, which leaves the error in place; wait() gives back the error that it takes. Test: ExampleDesk_stream_resetWithoutLength forces the order over loopback; without the mend it prints "reset: ... whole: true, cut off: 0". internal/... tests pass, ExampleDesk_stream* 20 of 20.

--- a/internal/routing/stream_test.go
+++ b/internal/routing/stream_test.go
@@ -349,3 +349,49 @@
 	// chunked: host gave all: true, its socket holds 0, client has all: true <nil>
 	// broken off: host gave all: true, its socket holds 0, client has all: true unexpected EOF
 }
+
+// An answer that says neither its length nor its chunks is whole where its host closes the connection, and broken off where that is reset. The
+// order that lost requests: the host drains, so the gateway looks whether more has come, and the reset is there as it looks. On Linux a look
+// takes a connection's error with it, and the next read finds a proper end.
+func ExampleDesk_stream_resetWithoutLength() {
+	const all = megabyte
+	for _, end := range []string{"closed", "reset"} {
+		s := play()
+		began, drains, ended := make(chan bool), make(chan bool), make(chan bool)
+		host := s.scripted(func(nc net.Conn, head *http.Request) {
+			long := bytesOf(all)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n\r\n%s", long[:80_000])
+			close(began)
+			<-drains
+			nc.Write(long[80_000:])
+			for until := time.Now().Add(5 * time.Second); held(nc) > 0 && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+			if end == "reset" {
+				nc.(*net.TCPConn).SetLinger(0)
+			}
+			nc.Close()
+			close(ended)
+		})
+		s.takeList(s.list.line, 1, &protocol.List{Rev: 5, All: true, Targets: []protocol.Entry{host}})
+		c := s.dial()
+		c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10) // the gateway waits for its client, and looks at the host meanwhile
+		io.WriteString(c, text("read", "long", ""))
+		<-began
+		c.r.Peek(1)
+		host.State = "terminating"
+		s.takeList(s.list.line, 0, &protocol.List{Rev: 6, Targets: []protocol.Entry{host}})
+		close(drains)
+		<-ended
+		answer, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			panic(err)
+		}
+		n, err := io.Copy(io.Discard, answer.Body)
+		fmt.Printf("%s: client has all that came: %v, whole: %v, cut off: %d\n", end, n == all, err == nil, s.Book.CutOff.Load())
+		c.Close()
+	}
+	// Output:
+	// closed: client has all that came: true, whole: true, cut off: 0
+	// reset: client has all that came: true, whole: false, cut off: 1
+}
--- a/internal/transport/ready.go
+++ b/internal/transport/ready.go
@@ -3,13 +3,14 @@
 import (
 	"io"
 	"net"
+	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// sight looks at what has come on a connection and takes nothing of it. So it can be told for certain whether there was
-// anything at a moment: what a reader has taken already, and not yet spoken of, no look would find.
+// sight looks at what has come on a connection and takes nothing of it, neither bytes nor the error by which it broke. So it can be told for
+// certain whether there was anything at a moment: what a reader has taken already, and not yet spoken of, no look would find.
 type sight struct{ raw syscall.RawConn }
 
 func sightOf(nc net.Conn) sight {
@@ -17,21 +18,26 @@
 	return sight{raw}
 }
 
-// There gives a look at whether something has come on a connection, be it the other side's end.
+// There gives a look at whether something has come on a connection, be it the other side's end. After it the connection is read as it would
+// have been without it: an answer that ends with its connection is whole where that was closed, and broken off where that was reset.
 func There(nc net.Conn) func() bool { return sightOf(nc).any }
 
-// wait waits until there is something to read; io.EOF if it is the other side's end.
-func (s sight) wait() (err error) {
-	var there, end bool
-	if err = s.raw.Read(func(fd uintptr) bool { there, end = look(fd); return there }); err == nil && end {
-		err = io.EOF
+// wait waits until there is something to read; io.EOF if it is the other side's end, and the connection's error if it broke.
+func (s sight) wait() error {
+	var end error
+	err := s.raw.Read(func(fd uintptr) (there bool) {
+		there, end = look(fd)
+		return there
+	})
+	if err == nil {
+		err = end
 	}
 	return err
 }
 
 // any tells whether there is something to read now, be it the other side's end.
 func (s sight) any() (there bool) {
-	s.raw.Control(func(fd uintptr) { there, _ = look(fd) })
+	s.raw.Control(func(fd uintptr) { there = events(fd, unix.POLLIN|unix.POLLRDHUP) != 0 })
 	return there
 }
 
@@ -45,26 +51,40 @@
 func (s sight) end() error { return s.raw.Read(hungUp) }
 
 // hungUp asks for the state of the connection, which goes before what is unread. Half an end is one: a client that has closed says no more.
-func hungUp(fd uintptr) bool {
+func hungUp(fd uintptr) bool { return events(fd, unix.POLLRDHUP) != 0 }
+
+// events gives those of the wanted events that have come about, and hang-ups and errors, which poll reports unasked. It leaves the
+// connection's pending error in place, which a receive takes with it even if it only peeks: the next one then finds a proper end.
+func events(fd uintptr, wanted int16) int16 {
 	for {
-		fds := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		fds := [...]unix.PollFd{{Fd: int32(fd), Events: wanted}}
 		n, err := unix.Poll(fds[:], 0)
-		if err != unix.EINTR {
-			return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err != nil || n == 0:
+			return 0
 		}
+		return fds[0].Revents
 	}
 }
 
-func look(fd uintptr) (there, end bool) {
+// look tells whether there is something to read, and how the connection ended where that is all there is. Its error is taken here, and
+// given back, so it is for those that read nothing more then.
+func look(fd uintptr) (there bool, end error) {
 	var b [1]byte
 	for {
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch err {
-		case syscall.EINTR:
+		switch {
+		case err == syscall.EINTR:
 			continue
-		case syscall.EAGAIN:
-			return false, false
+		case err == syscall.EAGAIN:
+			return false, nil
+		case err != nil:
+			return true, os.NewSyscallError("recvfrom", err)
+		case n == 0:
+			return true, io.EOF
 		}
-		return true, n == 0 && err == nil
+		return true, nil
 	}
 }
