--- a/cmd/spanmux/herd_test.go
+++ b/cmd/spanmux/herd_test.go
@@ -52,7 +52,7 @@
 		defer func() { <-d.places }()
 	default:
 		d.turned.Add(1)
-		http.Error(w, "too many callers", 503)
+		http.Error(w, "too many callers", http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Length", fmt.Sprint(len(d.text)))
--- a/tools/scale/measures.go
+++ b/tools/scale/measures.go
@@ -128,21 +128,19 @@
 
 // read reads a list and makes what the module takes of it.
 func read(text []byte) func() {
+	var hosts []logic.Host // outlives a call, so that the compiler can't leave out the reading
 	return func() {
 		l, err := protocol.ParseList(text)
 		if err != nil {
 			panic(err)
 		}
-		var hosts []logic.Host
+		hosts = nil
 		for i := range l.Targets {
 			hosts = append(hosts, l.Targets[i].Host(logic.HostID(i+1), since))
 		}
-		taken = hosts
 	}
 }
 
-var taken []logic.Host // so that the reading is not left out
-
 const (
 	atFleet    = "4 profiles, 18 zones, 4,400 gateways"
 	ofService  = "57 hosts, 18 zones, 4,400 gateways"
