--- a/cmd/spanmux/daily_test.go
+++ b/cmd/spanmux/daily_test.go
@@ -136,7 +136,7 @@
 // and on new ones, and none is refused, closed on or left unread. Only the first ends; the datagrams' address goes over.
 //
 // A message that came whole in the instant of SIGTERM was taken, and its client then taken for one that had left (see
-// ExampleClient_Whole_turned): on a new connection it counted as turned back, on a kept one it hid among those that cross. The first's
+// ExampleClient_MarkActive_rejected): on a new connection it counted as turned back, on a kept one it hid among those that cross. The first's
 // own count tells both. How much is asked before and after is counted, not timed: under load the pace is the machine's.
 func Example_replaced() {
 	at := listing(1, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "answer") })
--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -75,7 +75,7 @@
 // listen opens the address for clients, or takes the socket that the platform holds for all processes of the gateway.
 func listen(addr, descriptor string) (net.Listener, error) {
 	if descriptor != "" {
-		return transport.Inherited(descriptor)
+		return transport.InheritedListener(descriptor)
 	}
 	return net.Listen("tcp", addr)
 }
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -23,15 +23,15 @@
 	case place < 0:
 		// Taken by its method it might run twice; a profile's repeats are only known by their mark.
 		wrong = "method or mark not of this profile"
-	case t.client.Over:
+	case t.client.OverLimit:
 		d.Book.TurnedAway.Add(1)
 		t.tally.rolledBack.Add(1)
 		over := protocol.Plain(503, "no room\n", 0, true)
 		if t.said.Rest == nil {
-			t.client.End(over)
+			t.client.WriteFinal(over)
 		} else if t.client.Write(over) == nil { // it may be whole, and only not read: then it is owed this answer
-			t.client.Finish()
-			t.client.Drop()
+			t.client.CloseWrite()
+			t.client.DiscardInput()
 		}
 		return false
 	}
@@ -40,13 +40,13 @@
 		if t.tally != nil {
 			t.tally.aborted.Add(1)
 		}
-		t.client.End(protocol.Plain(400, wrong+"\n", 0, true))
+		t.client.WriteFinal(protocol.Plain(400, wrong+"\n", 0, true))
 		return false
 	}
 	if !d.take(t, place, max(t.said.Budget-timeAside, time.Millisecond)) {
 		d.Book.wrong("id of a transaction that is open", slog.String("trace", t.said.Trace))
 		t.tally.aborted.Add(1)
-		t.client.End(protocol.Plain(409, "its id is that of another\n", 0, true))
+		t.client.WriteFinal(protocol.Plain(409, "its id is that of another\n", 0, true))
 		return false
 	}
 	return true
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -131,10 +131,10 @@
 		{"lists", &b.Lists}, {"lists_lost", &b.ListsLost}, {"lists_again", &b.ListsAgain},
 		{"lists_older", &b.ListsOlder}, {"tells", &b.Tells}, {"tells_unsent", &b.Untold},
 		{"asks", &b.Asks}, {"asks_answered", &b.AsksAnswered}, {"told", &b.Told}, {"told_wrong", &b.ToldWrong}, {"wrong_input", &b.Wrong},
-		{"clients_accepted", &d.front.Accepted}, {"clients_crowded", &d.front.Crowded},
-		{"clients_gave_way", &d.front.GaveWay},
+		{"clients_accepted", &d.listener.Accepted}, {"clients_crowded", &d.listener.AcceptedOverLimit},
+		{"clients_gave_way", &d.listener.Evicted},
 		{"clients_broke", &b.ClientBroke}, {"hosts_connections", &d.pool.Opened},
-		{"hosts_connections_gave_way", &d.pool.GaveWay}, {"must_broken", &must.Broken},
+		{"hosts_connections_gave_way", &d.pool.Evicted}, {"must_broken", &must.Broken},
 	} {
 		fmt.Fprintf(&s, "spanmux_%s %d\n", c.name, c.n.Load())
 	}
--- a/internal/routing/endings_test.go
+++ b/internal/routing/endings_test.go
@@ -102,7 +102,7 @@
 		}
 		c.Close()
 		s.untilLeft(1)
-		s.until("all closed", func() bool { return s.front.Open() == 0 })
+		s.until("all closed", func() bool { return s.listener.OpenClients() == 0 })
 		fmt.Println("sent:", s.Book.Hops.Load(), "left:", s.Book.Left.Load(), s.never())
 	}
 	// Output:
@@ -110,14 +110,14 @@
 	// sent: 1 left: 1 false
 }
 
-// A message that waits to be accepted, as the front is at its limit, is not taken once its client has closed.
+// A message that waits to be accepted, as the listener is at its limit, is not taken once its client has closed.
 func Example_leavesUnaccepted() {
 	s := play("one")
 	c := s.dial()
 	io.WriteString(c, "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
 	s.get(c, "ready")
-	s.front.Shut()
-	s.until("the end", s.front.Over)
+	s.listener.Shutdown()
+	s.until("the end", s.listener.Finished)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -128,8 +128,8 @@
 		io.WriteString(c, text("pay", "go", ""))
 		leaves[how](c)
 	}
-	go s.front.Serve(s.client)
-	s.until("all closed", func() bool { return s.front.Accepted.Load() == 3 && s.front.Open() == 0 })
+	go s.listener.Serve(s.client)
+	s.until("all closed", func() bool { return s.listener.Accepted.Load() == 3 && s.listener.OpenClients() == 0 })
 	fmt.Println("taken:", s.Book.Taken.Load(), "sent:", s.Book.Hops.Load(), s.never())
 	// Output: taken: 0 sent: 0 false
 }
@@ -152,8 +152,8 @@
 		if !up {
 			s.gate <- true
 		}
-		s.until("withdrawn", func() bool { return s.Book.Withdrawn.Load() == 1 && s.front.Open() == 0 })
-		s.until("its socket is free", func() bool { return s.room.Used() == 0 })
+		s.until("withdrawn", func() bool { return s.Book.Withdrawn.Load() == 1 && s.listener.OpenClients() == 0 })
+		s.until("its socket is free", func() bool { return s.connLimit.InUse() == 0 })
 		fmt.Println("some passed on:", up, "written whole:", s.Book.Written.Load(), s.never())
 	}
 	// Output:
--- a/internal/routing/gone_test.go
+++ b/internal/routing/gone_test.go
@@ -229,8 +229,8 @@
 		c := l.dial()
 		io.WriteString(c, "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
 		l.get(c, "ready")
-		l.front.Shut()
-		l.until("the end", l.front.Over)
+		l.listener.Shutdown()
+		l.until("the end", l.listener.Finished)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			panic(err)
@@ -238,7 +238,7 @@
 		l.Listen(ln, false, 400, 0, 2<<20)
 		l.waits = int64(size)
 		l.send(pay)
-		served := time.AfterFunc(2*goneWithin, func() { l.front.Serve(l.client) })
+		served := time.AfterFunc(2*goneWithin, func() { l.listener.Serve(l.client) })
 		defer served.Stop()
 		l.leave()
 		return l
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -60,7 +60,7 @@
 	may := f.whole && d.shared // what still comes of the client's message is not handed over
 	d.passing(f, true)
 	defer d.passing(f, false)
-	f.there, f.wrote = transport.There(f.host), time.Now()
+	f.there, f.wrote = transport.ReadableCheck(f.host), time.Now()
 	for {
 		if may && f.broke == nil && d.closing.Load() {
 			may = false
@@ -73,7 +73,7 @@
 		}
 		hurries := !f.last && f.broke == nil && d.hurries(f)
 		// A nudge ends a piece too: this process ends, or hosts drain.
-		if err = f.write(hurries); err != nil && !(errors.Is(err, transport.ErrSlow) && time.Since(f.wrote) < clientSilent) {
+		if err = f.write(hurries); err != nil && !(errors.Is(err, transport.ErrWriteTimeout) && time.Since(f.wrote) < clientSilent) {
 			return false, err
 		}
 		if hurries {
@@ -126,7 +126,7 @@
 // write writes what is unsent, or part of it.
 func (f *flow) write(soon bool) (err error) {
 	had := size(f.unsent)
-	if f.unsent, err = f.client.Piece(f.unsent, soon); err == nil {
+	if f.unsent, err = f.client.WriteStream(f.unsent, soon); err == nil {
 		f.unsent = nil
 	}
 	if had == 0 || size(f.unsent) < had {
@@ -217,7 +217,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for f := range d.streams { // in any order: all are
-		f.client.Nudge()
+		f.client.InterruptWrite()
 		f.host.SetReadDeadline(time.Now())
 	}
 }
@@ -245,13 +245,13 @@
 func (d *Desk) turned(c *transport.Client) {
 	if !d.handOver(c) {
 		d.Book.TurnedAway.Add(1)
-		c.End(protocol.Plain(503, "ends\n", 0, true))
+		c.WriteFinal(protocol.Plain(503, "ends\n", 0, true))
 	}
 }
 
 // handOver hands a client over with what has come of its message.
 func (d *Desk) handOver(c *transport.Client) (handed bool) {
-	heard, all := c.Kept()
+	heard, all := c.Retained()
 	if handed = all && d.shared && transport.Hand(d.heir, nil, heard, c); handed {
 		d.Book.Handed.Add(1)
 	}
@@ -262,7 +262,7 @@
 func (d *Desk) adopt(text, read []byte, conns []net.Conn) (answer []byte) {
 	if len(text) == 0 && len(conns) == 1 {
 		d.Book.Adopted.Add(1)
-		d.front.AdoptHeard(conns[0], read, d.client)
+		d.listener.AdoptPartial(conns[0], read, d.client)
 		return nil
 	}
 	var n note
@@ -284,7 +284,7 @@
 	client, host := conns[0], conns[1]
 	d.Book.Adopted.Add(1)
 	d.Book.Open.Add(1)
-	d.front.Adopt(client, func(c *transport.Client) {
+	d.listener.Adopt(client, func(c *transport.Client) {
 		f := &flow{trace: n.Trace, began: time.Now(), client: c, host: host, from: n.Host, rest: rest, ahead: read,
 			framing: n.Framing, closing: n.Closing, whole: true, last: n.Last}
 		handed, err := d.pass(f)
@@ -296,10 +296,10 @@
 		case err != nil:
 			d.brokenOff(f, err, true)
 			if d.Book.CutOff.Add(1); n.Framing == protocol.ByClose {
-				c.Cut()
+				c.Reset()
 			}
 		case !n.Closing:
-			c.Settled()
+			c.MarkIdle()
 			d.client(c)
 		}
 	})
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -41,7 +41,7 @@
 		d.unsent(h)
 		return
 	}
-	if how == transport.NoRoom { // taken for a host that is not there it opened the breakers of all good ones
+	if how == transport.LimitReached { // taken for a host that is not there it opened the breakers of all good ones
 		d.Book.NoRoom.Add(1)
 		d.unsent(h)
 		return
@@ -100,7 +100,7 @@
 	taken, heard := t.taken, t.said.Rest == nil || t.heard
 	d.then(func() {
 		closing := t.said.Close || !heard || d.sendsAway()
-		err := t.client.WriteBy(bare(t.said, form(closing)), taken.Add(t.said.Budget))
+		err := t.client.WriteWithDeadline(bare(t.said, form(closing)), taken.Add(t.said.Budget))
 		d.Book.Microseconds.Add(time.Since(taken).Microseconds())
 		d.written(t, status, err, closing, heard)
 	})
@@ -117,14 +117,14 @@
 	case err != nil:
 		t.client.Close()
 	case !heard: // closed with input unread the connection would be reset, and the answer lost with it
-		t.client.Finish()
+		t.client.CloseWrite()
 	case closing:
 		t.client.Close()
 	default:
-		t.client.Settled()
+		t.client.MarkIdle()
 	}
 	close(t.settled)
-	t.client.Look()
+	t.client.Wake()
 }
 
 var (
@@ -168,7 +168,7 @@
 	handed, err := d.pass(f)
 	if err != nil {
 		if d.Book.CutOff.Add(1); framing == protocol.ByClose { // else it would look whole
-			t.client.Cut()
+			t.client.Reset()
 		}
 		d.brokenOff(f, err, false)
 	}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -19,7 +19,7 @@
 type Desk struct {
 	Book      Book
 	pool      *transport.Pool
-	front     *transport.Front
+	listener  *transport.Listener
 	opened    *given.Opened
 	list      listing
 	tells     tells
@@ -36,7 +36,7 @@
 	beside    int            // the same while another takes clients
 	streams   map[*flow]bool // answers under way; guarded by the lock
 	heir      string         // where answers are handed over to the next process
-	room      *transport.Room
+	connLimit *transport.ConnLimit
 	learnt    struct { // by the process before this one
 		what logic.Learnt
 		at   time.Time // when it said so, zero where it did not
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -144,7 +144,7 @@
 }
 
 func (s *stage) dial() *line {
-	nc, err := net.Dial("tcp", s.front.Addr())
+	nc, err := net.Dial("tcp", s.listener.Addr())
 	if err != nil {
 		panic(err)
 	}
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -29,19 +29,19 @@
 	d.large.Store(memory / largePart)
 	d.aheadMost = memory / aheadPart
 	d.ahead.Store(d.aheadMost)
-	crowd := max(1, sockets/crowdPart)
-	room := func(part float64) int { return int(part*float64(sockets)) - crowd - spareSockets - beside }
-	most := room(1)
+	overLimit := max(1, sockets/crowdPart)
+	limitFor := func(part float64) int { return int(part*float64(sockets)) - overLimit - spareSockets - beside }
+	limit := limitFor(1)
 	if shared {
-		most = room(alonePart)
+		limit = limitFor(alonePart)
 	}
-	d.room = transport.NewRoom(most)
-	d.pool = transport.NewPool(d.room, cmp.Or(d.opened.ConnectWithin, usualConnect), cmp.Or(d.opened.ConnIdle, usualIdle))
-	d.front = transport.Listen(ln, d.room, most-most/hostsPart, crowd)
-	d.alone, d.beside = most, room(besidePart)
+	d.connLimit = transport.NewConnLimit(limit)
+	d.pool = transport.NewPool(d.connLimit, cmp.Or(d.opened.ConnectWithin, usualConnect), cmp.Or(d.opened.ConnIdle, usualIdle))
+	d.listener = transport.NewListener(ln, d.connLimit, limit-limit/hostsPart, overLimit)
+	d.alone, d.beside = limit, limitFor(besidePart)
 	if shared { // the one before may be ending yet
-		d.front.Keep(memory / largePart)
-		d.room.Limit(d.beside)
+		d.listener.SetRetainBudget(memory / largePart)
+		d.connLimit.SetMax(d.beside)
 	}
 }
 
@@ -124,12 +124,12 @@
 		<-d.listed
 		time.AfterFunc(besideFor, func() {
 			if !d.closing.Load() {
-				d.room.Limit(d.alone)
+				d.connLimit.SetMax(d.alone)
 			}
 		})
 	}
 	d.serving.Store(true)
-	d.front.Serve(d.client)
+	d.listener.Serve(d.client)
 }
 
 // Retuned checks settings that are to follow those in force; it changes nothing.
@@ -152,14 +152,14 @@
 func (d *Desk) Ready() bool { return d.ready.Load() && d.serving.Load() && !d.sendsAway() }
 
 // sendsAway tells whether answers are to say that their connection closes.
-func (d *Desk) sendsAway() bool { return d.closing.Load() || d.front.Draining() }
+func (d *Desk) sendsAway() bool { return d.closing.Load() || d.listener.Draining() }
 
 // Drain sends clients away, or takes them again; once the gateway ends it takes none.
 func (d *Desk) Drain(away bool) bool {
 	if d.closing.Load() {
 		return away
 	}
-	d.front.Drain(away)
+	d.listener.SetDraining(away)
 	slog.Info("told by operators", "drain", away)
 	return true
 }
@@ -175,26 +175,26 @@
 			d.tells.socket = nil
 		}
 		d.mu.Unlock()
-		d.front.HandOver()
+		d.listener.HandOver()
 		d.pool.CloseIdle()
 	} else {
 		time.Sleep(comeOn)
-		d.front.Shut()
+		d.listener.Shutdown()
 	}
 	d.mu.Lock()
 	longest := min(cmp.Or(d.opened.Longest, usualLongest), usualLongest)
 	d.mu.Unlock()
 	until := began.Add(comeOn + longest)
-	for turned := false; !d.front.Over(); time.Sleep(endPoll) {
+	for turned := false; !d.listener.Finished(); time.Sleep(endPoll) {
 		switch now := time.Now(); {
 		case now.After(until):
-			slog.Warn("ends with clients unanswered", "clients", d.front.Open())
+			slog.Warn("ends with clients unanswered", "clients", d.listener.OpenClients())
 			return
 		case turned:
 			d.giveUp()
 		case now.After(until.Add(-endAside)):
 			turned = true
-			d.front.TurnAway()
+			d.listener.RejectIncomplete()
 		}
 		if d.shared {
 			d.nudge()
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -88,7 +88,7 @@
 	select {
 	case h.t.up <- r:
 		h.t.wait, h.t.feeding = wait, h
-		h.t.client.Look()
+		h.t.client.Wake()
 		return true
 	default: // it has room for all hops that settings allow within reason
 		return false
@@ -117,13 +117,13 @@
 // stands behind more than a socket holds.
 func (d *Desk) readEarly(t *tx, e *early, piece []byte, until func() bool) {
 	for e.err == nil && len(e.pieces) < earlyMost/pieceBytes && !until() && d.roomFor(pieceBytes) {
-		n, err := t.client.Early(until, func() (int, error) { return t.said.Rest.Read(piece) })
+		n, err := t.client.ReadWhileWaiting(until, func() (int, error) { return t.said.Rest.Read(piece) })
 		if n > 0 {
 			e.pieces = append(e.pieces, bytes.Clone(piece[:n]))
 		} else {
 			d.large.Add(pieceBytes)
 		}
-		if errors.Is(err, transport.ErrTurned) { // it says so again once its host is there
+		if errors.Is(err, transport.ErrShuttingDown) { // it says so again once its host is there
 			return
 		}
 		e.err = err
@@ -137,8 +137,8 @@
 	var to *transport.Rest
 	var e early
 	defer func() { d.large.Add(int64(len(e.pieces)) * pieceBytes) }()
-	stays := func() bool { return !t.client.Gone() }
-	t.client.Coming()
+	stays := func() bool { return !t.client.PeerClosed() }
+	t.client.BeginBody()
 	for {
 		if to == nil {
 			there := func() bool { return len(t.up) > 0 || t.over() }
@@ -146,13 +146,13 @@
 			if e.err != nil && !errors.Is(e.err, io.EOF) {
 				return d.breaks(t, e.err)
 			}
-			if !t.client.Stays(there) {
+			if !t.client.WaitUnlessClosed(there) {
 				return d.breaks(t, nil)
 			}
 			select {
 			case to = <-t.up:
 			default: // it has its answer
-				t.client.Drop()
+				t.client.DiscardInput()
 				return false
 			}
 			d.mu.Lock()
@@ -168,22 +168,22 @@
 		} else if !had {
 			n, err = t.said.Rest.Read(piece[:])
 		}
-		if errors.Is(err, transport.ErrTurned) { // its host has not all of it, and never has
+		if errors.Is(err, transport.ErrShuttingDown) { // its host has not all of it, and never has
 			to.Break()
 			<-t.settled
-			t.client.Drop()
+			t.client.DiscardInput()
 			return false
 		}
-		if err != nil && !errors.Is(err, io.EOF) || t.client.Gone() {
+		if err != nil && !errors.Is(err, io.EOF) || t.client.PeerClosed() {
 			return d.breaks(t, err)
 		}
 		began, last := time.Now(), err != nil
 		if last {
-			t.client.Heard()
+			t.client.EndBody()
 			late := false
 			d.decide(func(now time.Duration) {
 				late = t.answered
-				t.heard, t.early, t.taken, t.feeding.sent = true, t.client.R.Buffered() > 0, began, began
+				t.heard, t.early, t.taken, t.feeding.sent = true, t.client.Reader.Buffered() > 0, began, began
 				d.opened.Whole(now, t.id, t.feeding.number)
 			})
 			switch err := to.Last(t.said.Piece(piece[:n], true), t.wait, stays); {
@@ -205,9 +205,9 @@
 				to = nil
 			}
 		}
-		t.client.Waited(time.Since(began))
+		t.client.ExtendReadTime(time.Since(began))
 		if t.over() {
-			t.client.Drop()
+			t.client.DiscardInput()
 			return false
 		}
 	}
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -15,8 +15,8 @@
 func (d *Desk) client(c *transport.Client) {
 	var head protocol.Head
 	for {
-		err := c.Await()
-		if errors.Is(err, transport.ErrTurned) { // nothing has come, so nothing is owed where it can't be handed over
+		err := c.AwaitRequest()
+		if errors.Is(err, transport.ErrShuttingDown) { // nothing has come, so nothing is owed where it can't be handed over
 			d.handOver(c)
 		}
 		if err != nil || !d.next(c, &head) {
@@ -29,7 +29,7 @@
 func (d *Desk) next(c *transport.Client, head *protocol.Head) bool {
 	held := 0
 	defer func() { d.large.Add(int64(held)) }()
-	said, err := protocol.ReadTransaction(c.R, head, func() error { return c.Write(net.Buffers{protocol.GoOn}) },
+	said, err := protocol.ReadTransaction(c.Reader, head, func() error { return c.Write(net.Buffers{protocol.GoOn}) },
 		func(bytes int) bool {
 			if !d.roomFor(bytes) {
 				return false
@@ -38,23 +38,23 @@
 			return true
 		})
 	switch {
-	case errors.Is(err, transport.ErrTurned):
+	case errors.Is(err, transport.ErrShuttingDown):
 		d.turned(c)
 		return false
 	case err != nil:
 		d.answerWrong(c, err)
 		return false
-	case !c.Whole():
+	case !c.MarkActive():
 		return false
-	case c.Gone(): // while it waited behind another, or to be accepted
+	case c.PeerClosed(): // while it waited behind another, or to be accepted
 		d.Book.LeftBefore.Add(1)
 		return false
 	case said.Own != "":
 		said.Close = said.Close || d.sendsAway() || said.Rest != nil
-		return d.own(c, said) == nil && !said.Close && !c.Over
+		return d.own(c, said) == nil && !said.Close && !c.OverLimit
 	}
 	t := &tx{said: said, client: c, taken: time.Now(), settled: make(chan struct{}),
-		early: c.R.Buffered() > 0}
+		early: c.Reader.Buffered() > 0}
 	if said.Rest != nil {
 		t.up = make(chan *transport.Rest, upMost)
 	}
@@ -63,7 +63,7 @@
 	}
 	// While hops are out the connection is watched, as its end is all that a client that leaves says. The
 	// answer is written by whoever has it.
-	if c.Watch(t.over) != nil {
+	if c.WatchForClose(t.over) != nil {
 		if !d.left(t) {
 			<-t.settled
 		}
@@ -82,7 +82,7 @@
 		return
 	}
 	d.Book.wrong(wrong.What, slog.Int("status", wrong.Status))
-	c.End(protocol.Plain(wrong.Status, wrong.What+"\n", 0, true))
+	c.WriteFinal(protocol.Plain(wrong.Status, wrong.What+"\n", 0, true))
 }
 
 // own answers a call to the gateway itself.
--- a/internal/transport/client_read.go
+++ b/internal/transport/client_read.go
@@ -9,154 +9,156 @@
 	"time"
 )
 
-// ErrTurned is a message that is not whole as its process ends.
-var ErrTurned = errors.New("not whole as the process ends")
+// ErrShuttingDown is a message that is not whole as its process ends.
+var ErrShuttingDown = errors.New("not whole as the process ends")
 
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientBuffer) }}
+var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientBufferSize) }}
 
-// release gives the buffer back.
-func (c *Client) release() {
-	if c.R != nil {
-		c.R.Reset(nil)
-		readers.Put(c.R)
-		c.R = nil
+// releaseReader gives the buffer back.
+func (c *Client) releaseReader() {
+	if c.Reader != nil {
+		c.Reader.Reset(nil)
+		readerPool.Put(c.Reader)
+		c.Reader = nil
 	}
 }
 
-// Await waits for the first byte of a message. Until it comes the connection may be closed, and is where it has nothing to say
+// AwaitRequest waits for the first byte of a message. Until it comes the connection may be closed, and is where it has nothing to say
 // for long.
-func (c *Client) Await() error {
-	if c.R == nil || c.R.Buffered() == 0 {
-		c.release()
-		if len(c.ahead) == 0 {
-			if err := c.quiet(); err != nil {
+func (c *Client) AwaitRequest() error {
+	if c.Reader == nil || c.Reader.Buffered() == 0 {
+		c.releaseReader()
+		if len(c.inherited) == 0 {
+			if err := c.awaitFirstByte(); err != nil {
 				return err
 			}
 		}
-		c.R = readers.Get().(*bufio.Reader)
-		c.R.Reset((*paced)(c))
+		c.Reader = readerPool.Get().(*bufio.Reader)
+		c.Reader.Reset((*pacedReader)(c))
 	}
-	if !c.becomes(torn) { // closed just as something came: unread, the client sends it again elsewhere
+	if !c.setState(stateReading) { // closed just as something came: unread, the client sends it again elsewhere
 		return net.ErrClosed
 	}
-	c.base, c.allow, c.got, c.whole, c.lost = time.Now(), headWithin, 0, false, c.front.keep.Load() <= 0
-	if early, _ := c.R.Peek(c.R.Buffered()); len(early) > 0 {
-		c.keep(early)
+	c.readStart, c.readTimeout, c.received, c.dispatched, c.retainOverflow = time.Now(), requestTimeout, 0, false, c.listener.retainBudget.Load() <= 0
+	if pipelined, _ := c.Reader.Peek(c.Reader.Buffered()); len(pipelined) > 0 {
+		c.retain(pipelined)
 	}
 	switch {
-	case c.Over:
-		c.allow = crowdWithin
-	case !c.spoke:
-		c.base = c.came
+	case c.OverLimit:
+		c.readTimeout = overLimitTimeout
+	case !c.sentRequest:
+		c.readStart = c.acceptedAt
 	}
-	return c.nc.SetReadDeadline(c.base.Add(c.allow))
+	return c.conn.SetReadDeadline(c.readStart.Add(c.readTimeout))
 }
 
-// quiet waits while nothing is owed.
-func (c *Client) quiet() error {
-	until := c.came.Add(silentMost)
+// awaitFirstByte waits while nothing is owed.
+func (c *Client) awaitFirstByte() error {
+	deadline := c.acceptedAt.Add(newClientTimeout)
 	switch {
-	case c.Over:
-		until = time.Now().Add(crowdWithin)
-	case c.spoke:
-		until = c.rest()
+	case c.OverLimit:
+		deadline = time.Now().Add(overLimitTimeout)
+	case c.sentRequest:
+		deadline = c.becomeIdle()
 	}
-	c.sayBy(until)
-	err := c.see.wait()
+	c.setIdleDeadline(deadline)
+	err := c.socket.waitReadable()
 	switch {
-	case err != nil && c.see.any(): // as its time was up
+	case err != nil && c.socket.readable(): // as its time was up
 		err = nil
-	case errors.Is(err, os.ErrDeadlineExceeded) && !c.spoke && !c.Over && c.front.turning.Load() == untaken:
-		err = ErrTurned // it has only just come
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.sentRequest && !c.OverLimit && c.listener.rejecting.Load() == rejectUndispatched:
+		err = ErrShuttingDown // it has only just come
 	}
 	return err
 }
 
-// paced reads a client's messages. A body may take its time, at the pace that is owed.
-type paced Client
+// pacedReader reads a client's messages. A body may take its time, at the pace that is owed.
+type pacedReader Client
 
-func (p *paced) Read(b []byte) (int, error) {
-	if p.got > 0 && !p.last.Load() {
-		until := p.base.Add(p.allow + time.Duration(p.got)*time.Second/bodyPace)
-		if p.got > clientBuffer { // it is within a body
-			until = earlier(until, time.Now().Add(bodySilent))
+func (r *pacedReader) Read(b []byte) (int, error) {
+	if r.received > 0 && !r.discarding.Load() {
+		deadline := r.readStart.Add(r.readTimeout + time.Duration(r.received)*time.Second/bodyMinRate)
+		if r.received > clientBufferSize { // it is within a body
+			deadline = earlier(deadline, time.Now().Add(bodySilenceTimeout))
 		}
-		if !(*Client)(p).readBy(until) {
+		if !(*Client)(r).setReadDeadline(deadline) {
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
-	if p.turned() {
-		return 0, ErrTurned
+	if r.rejected() {
+		return 0, ErrShuttingDown
 	}
-	n := copy(b, p.ahead)
+	n := copy(b, r.inherited)
 	var err error
-	if p.ahead = p.ahead[n:]; n == 0 {
-		if n, err = p.nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && p.turned() {
-			err = ErrTurned
+	if r.inherited = r.inherited[n:]; n == 0 {
+		if n, err = r.conn.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && r.rejected() {
+			err = ErrShuttingDown
 		}
 	}
-	p.got += n
-	(*Client)(p).keep(b[:n])
+	r.received += n
+	(*Client)(r).retain(b[:n])
 	return n, err
 }
 
-// turned tells whether the message is turned away.
-func (p *paced) turned() bool {
-	switch p.front.turning.Load() {
-	case untaken:
-		return !p.whole
-	case all:
-		return !p.last.Load()
+// rejected tells whether the message is turned away.
+func (r *pacedReader) rejected() bool {
+	switch r.listener.rejecting.Load() {
+	case rejectUndispatched:
+		return !r.dispatched
+	case rejectIncomplete:
+		return !r.discarding.Load()
 	}
 	return false
 }
 
-// readBy is until when what is read now is to come; it is false where a Look has come.
-func (c *Client) readBy(until time.Time) bool {
-	c.front.mu.Lock()
-	defer c.front.mu.Unlock()
-	if c.stays && c.look {
+// setReadDeadline is until when what is read now is to come; it is false where a Wake has come.
+func (c *Client) setReadDeadline(deadline time.Time) bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.waiting && c.woken {
 		return false
 	}
-	c.nc.SetReadDeadline(until)
+	c.conn.SetReadDeadline(deadline)
 	return true
 }
 
-// Waited is the time for which a message was not read, as a host took it slowly; its client is not slow by that.
-func (c *Client) Waited(d time.Duration) { c.base = c.base.Add(d) }
+// ExtendReadTime is the time for which a message was not read, as a host took it slowly; its client is not slow by that.
+func (c *Client) ExtendReadTime(d time.Duration) { c.readStart = c.readStart.Add(d) }
 
-// Coming says that the message is taken and still comes.
-func (c *Client) Coming() {
-	c.front.mu.Lock()
-	c.feeds = true
-	c.front.mu.Unlock()
+// BeginBody says that the message is taken and still comes.
+func (c *Client) BeginBody() {
+	c.listener.mu.Lock()
+	c.streamingBody = true
+	c.listener.mu.Unlock()
 }
 
-// Heard says that the message has come whole, where that was not so when it was taken.
-func (c *Client) Heard() {
-	c.front.mu.Lock()
-	defer c.front.mu.Unlock()
-	c.feeds, c.early = false, c.R.Buffered() > 0
-	c.nc.SetReadDeadline(time.Time{})
+// EndBody says that the message has come whole, where that was not so when it was taken.
+func (c *Client) EndBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.streamingBody, c.pipelined = false, c.Reader.Buffered() > 0
+	c.conn.SetReadDeadline(time.Time{})
 }
 
-// keep keeps what comes of a message that may be handed over, as long as there is room for that.
-func (c *Client) keep(b []byte) {
-	if c.lost || c.whole || len(b) == 0 {
+// retain keeps what comes of a message that may be handed over, as long as there is room for that.
+func (c *Client) retain(b []byte) {
+	if c.retainOverflow || c.dispatched || len(b) == 0 {
 		return
 	}
-	if c.lost = c.front.keep.Add(-int64(len(b))) < 0; !c.lost {
-		c.raw = append(c.raw, b...)
+	if c.retainOverflow = c.listener.retainBudget.Add(-int64(len(b))) < 0; !c.retainOverflow {
+		c.retained = append(c.retained, b...)
 		return
 	}
-	c.front.keep.Add(int64(len(b)))
-	c.dropKept()
+	c.listener.retainBudget.Add(int64(len(b)))
+	c.dropRetained()
 }
 
-func (c *Client) dropKept() {
-	c.front.keep.Add(int64(len(c.raw)))
-	c.raw = nil
+func (c *Client) dropRetained() {
+	c.listener.retainBudget.Add(int64(len(c.retained)))
+	c.retained = nil
 }
 
-// Kept is all that has come of a message that is turned away, where it was kept.
-func (c *Client) Kept() (raw []byte, all bool) { return append(c.raw, c.ahead...), !c.lost }
+// Retained is all that has come of a message that is turned away, where it was kept.
+func (c *Client) Retained() (received []byte, complete bool) {
+	return append(c.retained, c.inherited...), !c.retainOverflow
+}
--- a/internal/transport/client_write.go
+++ b/internal/transport/client_write.go
@@ -7,62 +7,62 @@
 	"time"
 )
 
-// ErrSlow is a client that did not take all in time.
-var ErrSlow = os.ErrDeadlineExceeded
+// ErrWriteTimeout is a client that did not take all in time.
+var ErrWriteTimeout = os.ErrDeadlineExceeded
 
 // Write answers the client.
-func (c *Client) Write(b net.Buffers) error { return c.WriteBy(b, time.Now()) }
+func (c *Client) Write(b net.Buffers) error { return c.WriteWithDeadline(b, time.Now()) }
 
-// WriteBy answers a client that waits until then, and may read slowly.
-func (c *Client) WriteBy(b net.Buffers, until time.Time) error {
-	if least := time.Now().Add(writeWithin); until.Before(least) {
-		until = least
+// WriteWithDeadline answers a client that waits until then, and may read slowly.
+func (c *Client) WriteWithDeadline(b net.Buffers, deadline time.Time) error {
+	if earliest := time.Now().Add(minWriteTimeout); deadline.Before(earliest) {
+		deadline = earliest
 	}
-	c.nc.SetWriteDeadline(until)
-	_, err := b.WriteTo(c.nc)
+	c.conn.SetWriteDeadline(deadline)
+	_, err := b.WriteTo(c.conn)
 	return err
 }
 
-// Piece writes a piece of a streamed answer; its client may take it slowly. It gives back what could not be written, soon where there is
+// WriteStream writes a piece of a streamed answer; its client may take it slowly. It gives back what could not be written, soon where there is
 // something else to do meanwhile.
-func (c *Client) Piece(b net.Buffers, soon bool) (net.Buffers, error) {
-	within := pieceWithin
-	if soon {
-		within = pieceSoon
+func (c *Client) WriteStream(b net.Buffers, brief bool) (net.Buffers, error) {
+	timeout := streamWriteTimeout
+	if brief {
+		timeout = streamWriteBriefTimeout
 	}
-	c.nc.SetWriteDeadline(time.Now().Add(within))
-	_, err := b.WriteTo(c.nc)
+	c.conn.SetWriteDeadline(time.Now().Add(timeout))
+	_, err := b.WriteTo(c.conn)
 	return b, err
 }
 
-// Nudge ends the writing of a piece.
-func (c *Client) Nudge() { c.nc.SetWriteDeadline(time.Now()) }
+// InterruptWrite ends the writing of a piece.
+func (c *Client) InterruptWrite() { c.conn.SetWriteDeadline(time.Now()) }
 
-// End writes a last answer and lets the client read it: closed with input unread the connection would be reset, and
+// WriteFinal writes a last answer and lets the client read it: closed with input unread the connection would be reset, and
 // the answer lost with it.
-func (c *Client) End(b net.Buffers) {
-	if c.Write(b) == nil && c.nc.(*net.TCPConn).CloseWrite() == nil && c.becomes(ended) {
-		c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
-		io.CopyN(io.Discard, c.nc, lingerMost)
+func (c *Client) WriteFinal(b net.Buffers) {
+	if c.Write(b) == nil && c.conn.(*net.TCPConn).CloseWrite() == nil && c.setState(stateFinished) {
+		c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		io.CopyN(io.Discard, c.conn, maxLingerBytes)
 	}
 }
 
-// Finish says that the last answer is written while its message still comes: what comes is to be dropped for a moment.
-func (c *Client) Finish() {
-	c.last.Store(true)
-	c.nc.(*net.TCPConn).CloseWrite()
-	c.becomes(ended)
-	c.front.mu.Lock()
-	defer c.front.mu.Unlock()
-	c.feeds = false
-	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
+// CloseWrite says that the last answer is written while its message still comes: what comes is to be dropped for a moment.
+func (c *Client) CloseWrite() {
+	c.discarding.Store(true)
+	c.conn.(*net.TCPConn).CloseWrite()
+	c.setState(stateFinished)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.streamingBody = false
+	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// Drop reads what still comes after Finish.
-func (c *Client) Drop() { io.CopyN(io.Discard, c.nc, lingerMost) }
+// DiscardInput reads what still comes after CloseWrite.
+func (c *Client) DiscardInput() { io.CopyN(io.Discard, c.conn, maxLingerBytes) }
 
-// Cut ends the connection within an answer so that its client can tell, whatever the answer's form.
-func (c *Client) Cut() {
-	c.nc.(*net.TCPConn).SetLinger(0)
-	c.nc.Close()
+// Reset ends the connection within an answer so that its client can tell, whatever the answer's form.
+func (c *Client) Reset() {
+	c.conn.(*net.TCPConn).SetLinger(0)
+	c.conn.Close()
 }
--- a/internal/transport/room_test.go
+++ b/internal/transport/conn_limit_test.go
@@ -9,26 +9,26 @@
 
 // A connection to a host for which there is no socket just now waits for one, as clients that have only just come give way in a moment; one that
 // gets none in the time for connections says so, and not that its host is not there: that opened the breakers of good hosts.
-func ExampleRoom_EnterBy() {
+func ExampleConnLimit_Acquire() {
 	addr, end := script(func(nc net.Conn, r *bufio.Reader) {
 		r.ReadString('\n')
 		fmt.Fprintln(nc, "answer")
 	})
 	defer end()
-	room := NewRoom(1)
-	p := NewPool(room, 200*time.Millisecond, time.Second)
-	room.Enter()
-	time.AfterFunc(50*time.Millisecond, room.Leave)
+	limit := NewConnLimit(1)
+	p := NewPool(limit, 200*time.Millisecond, time.Second)
+	limit.TryAcquire()
+	time.AfterFunc(50*time.Millisecond, limit.Release)
 	talk(p, addr, "one", time.Second, false)
 	p.CloseIdle()
-	until(func() bool { return room.Used() == 0 })
-	room.Enter()
+	until(func() bool { return limit.InUse() == 0 })
+	limit.TryAcquire()
 	talk(p, addr, "none", time.Second, false)
 	done := make(chan How, 1)
 	x := &Exchange{Until: time.Now().Add(time.Second), Done: func(how How) { done <- how }}
 	p.Start(Target{Addr: addr}, x)
 	x.GiveUp()
-	fmt.Println("given up:", hows[<-done], "sockets:", room.Used())
+	fmt.Println("given up:", hows[<-done], "sockets:", limit.InUse())
 	// Output:
 	// one: answered "answer\n", 1 opened
 	// none: no room "", 1 opened
--- a/internal/transport/drain.go
+++ b/internal/transport/drain.go
@@ -4,38 +4,38 @@
 
 // How far messages that are not whole are turned away as the process ends.
 const (
-	untaken = 1 + iota // those of which a host has nothing
-	all
+	rejectUndispatched = 1 + iota // those of which a host has nothing
+	rejectIncomplete
 )
 
-// Drain sends clients away, or takes them again. The listener stays open, as some come for a while yet, and each answer is
+// SetDraining sends clients away, or takes them again. The listener stays open, as some come for a while yet, and each answer is
 // to say that its connection closes; on those on which nothing is owed nothing will be said, so they close by themselves, one
 // after the other: all clients at once would come to the other gateways in one moment. One that is told so stays told.
-func (f *Front) Drain(away bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.away == away {
+func (l *Listener) SetDraining(draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.draining == draining {
 		return
 	}
-	if f.away = away; away {
-		f.fade(awayFrom, awayTo)
+	if l.draining = draining; draining {
+		l.scheduleIdleCloses(drainFirstClose, drainLastClose)
 	}
 }
 
 // Draining tells whether clients are sent away.
-func (f *Front) Draining() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.away
+func (l *Listener) Draining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
 }
 
-// fade closes what is idle between these times from now.
-func (f *Front) fade(from, to time.Duration) {
+// scheduleIdleCloses closes what is idle between these times from now.
+func (l *Listener) scheduleIdleCloses(first, last time.Duration) {
 	n, now := time.Duration(0), time.Now()
-	f.by = now.Add(to)
-	for c := range f.open { // in any order: each gets a moment
-		if c.doing == idle && !c.shut {
-			c.nc.SetReadDeadline(now.Add(from + (to-from)*n/time.Duration(f.idle)))
+	l.drainDeadline = now.Add(last)
+	for c := range l.clients { // in any order: each gets a moment
+		if c.state == stateIdle && !c.closed {
+			c.conn.SetReadDeadline(now.Add(first + (last-first)*n/time.Duration(l.idleClients)))
 			n++
 		}
 	}
@@ -43,45 +43,45 @@
 
 // HandOver leaves what is not accepted yet to the process that shares the listening socket, and goes on with the rest until it is
 // answered. Clients go on using what stays open, so that is kept for as long as what comes on it can still be answered.
-func (f *Front) HandOver() {
-	f.ln.Close()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.away = true
-	f.fade(handFrom, handTo)
-	f.turn(untaken)
+func (l *Listener) HandOver() {
+	l.ln.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	l.scheduleIdleCloses(handoverFirstClose, handoverLastClose)
+	l.reject(rejectUndispatched)
 }
 
-// Keep has what comes of messages that are not whole be kept, up to so many bytes in all, for another process to hear them out.
-func (f *Front) Keep(bytes int64) { f.keep.Store(bytes) }
+// SetRetainBudget has what comes of messages that are not whole be kept, up to so many bytes in all, for another process to hear them out.
+func (l *Listener) SetRetainBudget(bytes int64) { l.retainBudget.Store(bytes) }
 
-// TurnAway ends the reading of all messages that are not whole yet. What came whole later could not be answered before the process is
+// RejectIncomplete ends the reading of all messages that are not whole yet. What came whole later could not be answered before the process is
 // ended, and would be lost.
-func (f *Front) TurnAway() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.turn(all)
+func (l *Listener) RejectIncomplete() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reject(rejectIncomplete)
 }
 
-// turn has the goroutines that read look at how far messages are turned away now.
-func (f *Front) turn(far int32) {
-	f.turning.Store(far)
-	for c := range f.open { // in any order: all are
-		if c.doing == torn || c.doing == silent || far == all && c.feeds {
-			c.nc.SetReadDeadline(time.Now())
+// reject has the goroutines that read look at how far messages are turned away now.
+func (l *Listener) reject(level int32) {
+	l.rejecting.Store(level)
+	for c := range l.clients { // in any order: all are
+		if c.state == stateReading || c.state == stateNew || level == rejectIncomplete && c.streamingBody {
+			c.conn.SetReadDeadline(time.Now())
 		}
 	}
 }
 
-// Shut takes no new connections and closes those on which nothing is owed, at once or once it is answered.
-func (f *Front) Shut() {
-	f.ln.Close()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.closing = true
-	for c := range f.open {
-		if (c.doing == silent || c.doing == idle) && !c.early && !c.see.any() {
-			c.shutNow()
+// Shutdown takes no new connections and closes those on which nothing is owed, at once or once it is answered.
+func (l *Listener) Shutdown() {
+	l.ln.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	for c := range l.clients {
+		if (c.state == stateNew || c.state == stateIdle) && !c.pipelined && !c.socket.readable() {
+			c.closeNow()
 		}
 	}
 }
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -13,7 +13,7 @@
 	r    *bufio.Reader
 
 	mu     sync.Mutex
-	nc     net.Conn
+	conn   net.Conn
 	closed bool
 
 	until time.Time // when the answer is late, but for what has come of it; the caller's, as is got
@@ -23,15 +23,15 @@
 // heard reads an answer. One that comes may take its time, by how much has come: a list of ten thousand hosts is megabytes, and a
 // discovery that all call at once is slow. One that dribbles, or stops, is late all the same.
 type heard struct {
-	l  *Line
-	nc net.Conn
+	l    *Line
+	conn net.Conn
 }
 
 func (h heard) Read(b []byte) (int, error) {
-	n, err := h.nc.Read(b)
+	n, err := h.conn.Read(b)
 	if h.l.got += n; n > 0 {
-		paced := h.l.until.Add(time.Duration(h.l.got) * time.Second / linePace)
-		h.nc.SetReadDeadline(earlier(paced, later(h.l.until, time.Now().Add(lineSilent))))
+		paced := h.l.until.Add(time.Duration(h.l.got) * time.Second / lineMinRate)
+		h.conn.SetReadDeadline(earlier(paced, later(h.l.until, time.Now().Add(lineSilenceTimeout))))
 	}
 	return n, err
 }
@@ -40,7 +40,7 @@
 func (l *Line) Call(message net.Buffers, within time.Duration,
 	read func(*bufio.Reader) (keep bool, err error)) error {
 	until := time.Now().Add(within)
-	nc, err := l.up(min(within, lineUp))
+	nc, err := l.up(min(within, lineConnectTimeout))
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 // up gives the connection, a new one where there is none.
 func (l *Line) up(within time.Duration) (net.Conn, error) {
 	l.mu.Lock()
-	nc, closed := l.nc, l.closed
+	nc, closed := l.conn, l.closed
 	l.mu.Unlock()
 	if nc != nil {
 		return nc, nil
@@ -77,16 +77,16 @@
 		nc.Close()
 		return nil, net.ErrClosed
 	}
-	l.nc, l.r = nc, bufio.NewReaderSize(heard{l, nc}, lineBuffer)
+	l.conn, l.r = nc, bufio.NewReaderSize(heard{l, nc}, lineBufferSize)
 	return nc, nil
 }
 
 func (l *Line) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.nc != nil {
-		l.nc.Close()
-		l.nc = nil
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
 	}
 }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -13,38 +13,38 @@
 	"time"
 )
 
-// Front takes in the connections of clients.
-type Front struct {
-	ln        net.Listener
-	room      *Room
-	most      int // clients, those over the room aside
-	mu        sync.Mutex
-	open      map[*Client]struct{}
-	in        int // of these, those not over the room
-	idle      int // of these, those between messages
-	over      chan struct{}
-	closing   bool
-	away      bool         // clients are sent away
-	accepting atomic.Bool  // one may have been accepted that is not open yet
-	turning   atomic.Int32 // how far messages that are not whole are turned away
-	keep      atomic.Int64 // bytes that may yet be kept of these
-	by        time.Time    // when the last of these that says nothing is closed
-	Accepted  atomic.Int64
-	Crowded   atomic.Int64 // connections over the room
-	GaveWay   atomic.Int64 // those closed for others
+// Listener takes in the connections of clients.
+type Listener struct {
+	ln                net.Listener
+	limit             *ConnLimit
+	maxClients        int // clients, those over the limit aside
+	mu                sync.Mutex
+	clients           map[*Client]struct{}
+	admitted          int // of these, those not over the limit
+	idleClients       int // of these, those between messages
+	overLimitSlots    chan struct{}
+	closing           bool
+	draining          bool         // clients are sent away
+	accepting         atomic.Bool  // one may have been accepted that is not open yet
+	rejecting         atomic.Int32 // how far messages that are not whole are turned away
+	retainBudget      atomic.Int64 // bytes that may yet be kept of these
+	drainDeadline     time.Time    // when the last of these that says nothing is closed
+	Accepted          atomic.Int64
+	AcceptedOverLimit atomic.Int64 // connections over the limit
+	Evicted           atomic.Int64 // those closed for others
 }
 
-// Listen opens a front for so many clients in the room; crowd is how many over that may be open, each to be turned away
+// NewListener opens a listener for so many clients within the limit; maxOverLimit is how many over that may be open, each to be turned away
 // with one answer.
-func Listen(ln net.Listener, room *Room, most, crowd int) *Front {
-	f := &Front{ln: ln, room: room, most: most, open: map[*Client]struct{}{}, over: make(chan struct{}, crowd)}
-	room.GiveWay(f.closeIdle)
-	return f
+func NewListener(ln net.Listener, limit *ConnLimit, maxClients, maxOverLimit int) *Listener {
+	l := &Listener{ln: ln, limit: limit, maxClients: maxClients, clients: map[*Client]struct{}{}, overLimitSlots: make(chan struct{}, maxOverLimit)}
+	limit.AddEvictor(l.evict)
+	return l
 }
 
-// Inherited takes the listening socket that is open as a descriptor of that number. Closed here it goes on for the processes that
+// InheritedListener takes the listening socket that is open as a descriptor of that number. Closed here it goes on for the processes that
 // share it.
-func Inherited(descriptor string) (net.Listener, error) {
+func InheritedListener(descriptor string) (net.Listener, error) {
 	n, err := strconv.ParseUint(descriptor, 10, 16)
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %q is no number", descriptor)
@@ -67,73 +67,73 @@
 }
 
 // Addr is where clients connect.
-func (f *Front) Addr() string { return f.ln.Addr().String() }
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
 // Serve hands each connection to handle, in a goroutine of its own, until the listener is closed.
-func (f *Front) Serve(handle func(*Client)) {
-	f.accepting.Store(true)
-	defer f.accepting.Store(false)
+func (l *Listener) Serve(handle func(*Client)) {
+	l.accepting.Store(true)
+	defer l.accepting.Store(false)
 	for {
-		nc, err := f.ln.Accept()
+		conn, err := l.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			slog.Warn("accept", "error", err)
-			time.Sleep(acceptAgain)
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		f.client(nc).serve(handle)
+		l.admit(conn).serve(handle)
 	}
 }
 
-// client takes a connection in, with its place.
-func (f *Front) client(nc net.Conn) *Client {
-	f.Accepted.Add(1)
-	nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
-	c := &Client{front: f, nc: nc, see: sightOf(nc), came: time.Now(), doing: silent, since: time.Now()}
-	for c.Over = !f.enter(); c.Over && !f.crowd(); c.Over = !f.enter() {
-		time.Sleep(acceptAgain) // where even these are too many, the next wait to be accepted
+// admit takes a connection in, with its place.
+func (l *Listener) admit(conn net.Conn) *Client {
+	l.Accepted.Add(1)
+	conn.(*net.TCPConn).SetWriteBuffer(sendBufferSize)
+	c := &Client{listener: l, conn: conn, socket: socketStateOf(conn), acceptedAt: time.Now(), state: stateNew, stateSince: time.Now()}
+	for c.OverLimit = !l.acquireSlot(); c.OverLimit && !l.acquireOverLimit(); c.OverLimit = !l.acquireSlot() {
+		time.Sleep(acceptRetryDelay) // where even these are too many, the next wait to be accepted
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.open[c] = struct{}{}
-	if c.place = !c.Over; c.place {
-		f.in++
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clients[c] = struct{}{}
+	if c.holdsSlot = !c.OverLimit; c.holdsSlot {
+		l.admitted++
 	}
 	return c
 }
 
-// crowd takes a place over the room.
-func (f *Front) crowd() bool {
+// acquireOverLimit takes a place over the limit.
+func (l *Listener) acquireOverLimit() bool {
 	select {
-	case f.over <- struct{}{}:
-		f.Crowded.Add(1)
+	case l.overLimitSlots <- struct{}{}:
+		l.AcceptedOverLimit.Add(1)
 		return true
 	default:
 		return false
 	}
 }
 
-// enter takes a place for a client. Beyond their share clients give way only to each other: what is left is for
+// acquireSlot takes a place for a client. Beyond their share clients give way only to each other: what is left is for
 // hosts, without whom no client is answered.
-func (f *Front) enter() bool {
-	f.mu.Lock()
-	full := f.in >= f.most
-	f.mu.Unlock()
+func (l *Listener) acquireSlot() bool {
+	l.mu.Lock()
+	full := l.admitted >= l.maxClients
+	l.mu.Unlock()
 	if full {
-		return f.closeIdle()
+		return l.evict()
 	}
-	return f.room.Enter()
+	return l.limit.TryAcquire()
 }
 
-// Open is how many connections there are.
-func (f *Front) Open() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.open)
+// OpenClients is how many connections there are.
+func (l *Listener) OpenClients() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.clients)
 }
 
-// Over tells whether, of a front that takes no more, all have gone: one that was just accepted, and waits for room, is not among the
+// Finished tells whether, of a listener that takes no more, all have gone: one that was just accepted, and waits for room, is not among the
 // open ones yet.
-func (f *Front) Over() bool { return !f.accepting.Load() && f.Open() == 0 }
+func (l *Listener) Finished() bool { return !l.accepting.Load() && l.OpenClients() == 0 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,8 +24,8 @@
 	Broken         // it broke after that, or the answer made no sense
 	TimedOut
 	GivenUp
-	NoRoom    // this process had no socket for it: never ran, and its host knows nothing of it
-	Withdrawn // given up before its last byte was written, or not wanted any more as it was to be: never ran
+	LimitReached // this process had no socket for it: never ran, and its host knows nothing of it
+	Withdrawn    // given up before its last byte was written, or not wanted any more as it was to be: never ran
 )
 
 // Exchange is one message to a host and what comes back. Done is called exactly once.
@@ -51,7 +51,7 @@
 }
 
 // Within has what is read next of an answer that goes on come within a time.
-func (x *Exchange) Within(d time.Duration) { x.c.nc.SetReadDeadline(time.Now().Add(d)) }
+func (x *Exchange) Within(d time.Duration) { x.c.conn.SetReadDeadline(time.Now().Add(d)) }
 
 // Whole tells, as its answer is read, whether the last byte of the message was written; if not, it never is.
 func (x *Exchange) Whole() bool { return x.c.wasWhole() }
@@ -67,9 +67,9 @@
 
 // Write writes a further piece as long as it is wanted; nothing has run as long as the last one is missing. A host may take none for long.
 func (r *Rest) Write(piece net.Buffers, wanted func() bool) error {
-	for until := time.Now().Add(pieceWithin); ; {
-		r.c.nc.SetWriteDeadline(time.Now().Add(wantedEvery))
-		_, err := piece.WriteTo(r.c.nc) // what has gone is not in it any more
+	for until := time.Now().Add(streamWriteTimeout); ; {
+		r.c.conn.SetWriteDeadline(time.Now().Add(wantedPollInterval))
+		_, err := piece.WriteTo(r.c.conn) // what has gone is not in it any more
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until) {
 			if wanted() {
 				continue
@@ -77,14 +77,14 @@
 			return ErrUnwanted
 		}
 		if err != nil {
-			r.c.nc.Close()
+			r.c.conn.Close()
 		}
 		return err
 	}
 }
 
 // Break ends the connection before the last piece: nothing has run.
-func (r *Rest) Break() { r.c.nc.Close() }
+func (r *Rest) Break() { r.c.conn.Close() }
 
 // Last writes the last piece; the answer is to come within a time from then on. It is written under the connection's lock: a host that
 // has all of it, and ends the connection at once, must not be taken for one that never had.
@@ -102,7 +102,7 @@
 	}
 	if r.c.whole = err == nil; r.c.whole {
 		r.x.Until = time.Now().Add(within)
-		r.c.nc.SetReadDeadline(r.x.Until)
+		r.c.conn.SetReadDeadline(r.x.Until)
 		r.x.Written()
 	}
 	return err
@@ -154,31 +154,31 @@
 
 // Pool keeps the connections to hosts. The one used last is used first, so that few are kept.
 type Pool struct {
-	room    *Room
+	limit   *ConnLimit
 	Up      func(ctx context.Context, network, addr string) (net.Conn, error) // opens one
 	within  time.Duration                                                     // for it to come up
 	idle    time.Duration                                                     // for which one is kept idle
 	mu      sync.Mutex
 	free    map[Target][]*hostConn
 	Opened  atomic.Int64
-	GaveWay atomic.Int64 // idle connections closed for others
+	Evicted atomic.Int64 // idle connections closed for others
 }
 
-func NewPool(room *Room, connectWithin, hostsKeepIdle time.Duration) *Pool {
-	p := &Pool{room: room, Up: (&net.Dialer{}).DialContext, within: connectWithin, idle: hostsKeepIdle / idlePart, free: map[Target][]*hostConn{}}
-	room.GiveWay(p.closeIdle)
+func NewPool(limit *ConnLimit, connectWithin, hostsKeepIdle time.Duration) *Pool {
+	p := &Pool{limit: limit, Up: (&net.Dialer{}).DialContext, within: connectWithin, idle: hostsKeepIdle / hostIdleDivisor, free: map[Target][]*hostConn{}}
+	limit.AddEvictor(p.evict)
 	return p
 }
 
 type hostConn struct {
-	pool *Pool
-	to   Target
-	nc   net.Conn
-	see  sight
-	r    *bufio.Reader
+	pool   *Pool
+	to     Target
+	conn   net.Conn
+	socket socketState
+	r      *bufio.Reader
 
-	since  time.Time // idle since then; guarded by the pool, as is handed
-	handed bool      // its place in the room is another's
+	since     time.Time // idle since then; guarded by the pool, as is slotTaken
+	slotTaken bool      // its place under the limit is another's
 
 	mu    sync.Mutex // held while a message is written
 	out   *Exchange
@@ -214,7 +214,7 @@
 }
 
 func (p *Pool) park(c *hostConn) {
-	c.nc.SetReadDeadline(time.Now().Add(p.idle))
+	c.conn.SetReadDeadline(time.Now().Add(p.idle))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.since = time.Now()
@@ -232,11 +232,11 @@
 func (p *Pool) drop(c *hostConn) {
 	p.mu.Lock()
 	p.forget(c)
-	handed := c.handed
+	slotTaken := c.slotTaken
 	p.mu.Unlock()
-	c.nc.Close()
-	if !handed {
-		p.room.Leave()
+	c.conn.Close()
+	if !slotTaken {
+		p.limit.Release()
 	}
 }
 
@@ -247,8 +247,8 @@
 	}
 }
 
-// closeIdle closes the connection that has been idle longest.
-func (p *Pool) closeIdle() bool {
+// evict closes the connection that has been idle longest.
+func (p *Pool) evict() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var oldest *hostConn
@@ -261,16 +261,16 @@
 		return false
 	}
 	p.forget(oldest)
-	p.GaveWay.Add(1)
-	oldest.handed = true
-	oldest.nc.Close()
+	p.Evicted.Add(1)
+	oldest.slotTaken = true
+	oldest.conn.Close()
 	return true
 }
 
 // Close closes the idle connections to a host to which nothing more is sent.
 func (p *Pool) Close(to Target) {
 	for c := p.take(to); c != nil; c = p.take(to) {
-		c.nc.Close()
+		c.conn.Close()
 	}
 }
 
@@ -280,7 +280,7 @@
 	defer p.mu.Unlock()
 	for _, free := range p.free { // in any order: all are closed
 		for _, c := range free {
-			c.nc.Close()
+			c.conn.Close()
 		}
 	}
 	p.free = map[Target][]*hostConn{} // one that is closed must not be taken before it notices
@@ -294,11 +294,11 @@
 		return
 	}
 	began := time.Now()
-	room := p.room.EnterBy(ctx)
+	acquired := p.limit.Acquire(ctx)
 	x.Waited = time.Since(began)
-	if !room {
+	if !acquired {
 		if x.stopBy(nil) {
-			x.Done(NoRoom)
+			x.Done(LimitReached)
 		} else {
 			x.Done(Withdrawn)
 		}
@@ -306,7 +306,7 @@
 	}
 	nc, err := p.Up(ctx, "tcp", to.Addr)
 	if err != nil {
-		p.room.Leave()
+		p.limit.Release()
 		if x.stopBy(nil) {
 			x.Done(NeverUp)
 		} else {
@@ -317,12 +317,12 @@
 	p.Opened.Add(1)
 	if !x.wanted() { // it was long in coming up
 		nc.Close()
-		p.room.Leave()
+		p.limit.Release()
 		x.Done(Withdrawn)
 		return
 	}
-	nc.(*net.TCPConn).SetWriteBuffer(sendBuffer)
-	c := &hostConn{pool: p, to: to, nc: nc, see: sightOf(nc), r: bufio.NewReaderSize(nc, hostBuffer)}
+	nc.(*net.TCPConn).SetWriteBuffer(sendBufferSize)
+	c := &hostConn{pool: p, to: to, conn: nc, socket: socketStateOf(nc), r: bufio.NewReaderSize(nc, hostBufferSize)}
 	if !c.send(x) { // its host speaks, or ends it, unasked
 		x.Done(NotWritten)
 	}
@@ -348,27 +348,27 @@
 func (c *hostConn) send(x *Exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead || c.see.any() {
+	if c.dead || c.socket.readable() {
 		c.dead = true
 		return false
 	}
 	must.Hold(c.out == nil, "one exchange a connection")
 	c.out, c.whole, x.c = x, false, c
-	c.nc.SetDeadline(x.Until)
-	if !x.stopBy(func() { c.nc.Close() }) || x.Rest == nil && !x.begin() {
-		c.nc.Close() // its goroutine ends the exchange
+	c.conn.SetDeadline(x.Until)
+	if !x.stopBy(func() { c.conn.Close() }) || x.Rest == nil && !x.begin() {
+		c.conn.Close() // its goroutine ends the exchange
 		return true
 	}
 	message := x.Message()
-	_, err := message.WriteTo(c.nc)
+	_, err := message.WriteTo(c.conn)
 	switch {
 	case err != nil:
-		c.nc.Close()
+		c.conn.Close()
 	case x.Rest != nil:
-		x.Until = time.Now().Add(bodyMost)
-		c.nc.SetReadDeadline(x.Until)
+		x.Until = time.Now().Add(maxBodyTime)
+		c.conn.SetReadDeadline(x.Until)
 		if !x.Rest(&Rest{c, x}) {
-			c.nc.Close()
+			c.conn.Close()
 		}
 	default:
 		if c.whole = true; x.Written != nil {
@@ -382,7 +382,7 @@
 func (c *hostConn) serve() {
 	defer c.pool.drop(c)
 	for {
-		err := c.see.wait()
+		err := c.socket.waitReadable()
 		x, late := c.await(err)
 		if late {
 			continue
--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -44,7 +44,7 @@
 		}
 		if err != nil {
 			slog.Warn("accept of what is handed over", "error", err)
-			time.Sleep(acceptAgain)
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		go func() {
@@ -58,7 +58,7 @@
 				return
 			}
 			if answer := take(note, bytes, conns); answer != nil {
-				from.SetDeadline(time.Now().Add(handWithin))
+				from.SetDeadline(time.Now().Add(handoverWriteTimeout))
 				parts := net.Buffers{lengths(answer), answer}
 				parts.WriteTo(from) // without it the other goes on as if it had not asked
 			}
@@ -69,7 +69,7 @@
 // taken reads what is handed over: two lengths, with the connections, and so many bytes. All of it is this process's once it has come
 // whole, also where the one before does not wait to be told so: it has let go of them then.
 func taken(from *net.UnixConn) (note, bytes []byte, conns []net.Conn, err error) {
-	from.SetDeadline(time.Now().Add(takeWithin))
+	from.SetDeadline(time.Now().Add(handoverReadTimeout))
 	head, rights := make([]byte, 8), make([]byte, syscall.CmsgSpace(4*4))
 	n, k, _, _, err := from.ReadMsgUnix(head, rights)
 	if err != nil {
@@ -94,7 +94,7 @@
 	}
 	for i, part := range []*[]byte{&note, &bytes} {
 		long := binary.BigEndian.Uint32(head[4*i:])
-		if err == nil && long > handMost {
+		if err == nil && long > maxHandoverBytes {
 			err = fmt.Errorf("%d bytes are handed over", long)
 		}
 		if err == nil {
@@ -123,7 +123,7 @@
 		return nil
 	}
 	defer to.Close()
-	to.SetDeadline(time.Now().Add(askWithin))
+	to.SetDeadline(time.Now().Add(learntStateTimeout))
 	if _, err := to.Write(append(lengths(note, nil), note...)); err != nil {
 		return nil
 	}
@@ -132,7 +132,7 @@
 		return nil
 	}
 	long := binary.BigEndian.Uint32(head[1:])
-	if long > handMost {
+	if long > maxHandoverBytes {
 		return nil
 	}
 	answer := make([]byte, long)
@@ -146,7 +146,7 @@
 // else does, or has not all of it. Once all is sent the connections are the other's, whether or not that says so in time: two may not
 // write to one client.
 func Hand(path string, note, bytes []byte, c *Client, more ...net.Conn) bool {
-	if max(len(note), len(bytes)) > handMost {
+	if max(len(note), len(bytes)) > maxHandoverBytes {
 		return false
 	}
 	to, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
@@ -157,9 +157,9 @@
 	if peer(to) == os.Getpid() { // nobody has come to replace this process
 		return false
 	}
-	to.SetDeadline(time.Now().Add(handWithin))
+	to.SetDeadline(time.Now().Add(handoverWriteTimeout))
 	head := lengths(note, bytes)
-	err = holding(append([]net.Conn{c.nc}, more...), nil, func(fds []int) error {
+	err = holding(append([]net.Conn{c.conn}, more...), nil, func(fds []int) error {
 		n, _, err := to.WriteMsgUnix(head, syscall.UnixRights(fds...), nil)
 		if err == nil && n < len(head) {
 			err = io.ErrShortWrite
@@ -206,21 +206,21 @@
 }
 
 // Host is the connection of an exchange whose answer goes on.
-func (x *Exchange) Host() net.Conn { return x.c.nc }
+func (x *Exchange) Host() net.Conn { return x.c.conn }
 
 // Adopt takes in a client's connection that another process had; handle begins within an answer on it.
-func (f *Front) Adopt(nc net.Conn, handle func(*Client)) {
-	c := f.client(nc)
-	f.mu.Lock()
-	c.doing = owed
-	c.spoke = true
-	f.mu.Unlock()
+func (l *Listener) Adopt(conn net.Conn, handle func(*Client)) {
+	c := l.admit(conn)
+	l.mu.Lock()
+	c.state = stateActive
+	c.sentRequest = true
+	l.mu.Unlock()
 	c.serve(handle)
 }
 
-// AdoptHeard takes in one of which another process has read a message in part; handle begins with that message.
-func (f *Front) AdoptHeard(nc net.Conn, heard []byte, handle func(*Client)) {
-	c := f.client(nc)
-	c.ahead, c.raw = heard, heard[:0]
+// AdoptPartial takes in one of which another process has read a message in part; handle begins with that message.
+func (l *Listener) AdoptPartial(conn net.Conn, received []byte, handle func(*Client)) {
+	c := l.admit(conn)
+	c.inherited, c.retained = received, received[:0]
 	c.serve(handle)
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -78,7 +78,7 @@
 	half := func(nc net.Conn, r *bufio.Reader) { r.ReadString('\n'); fmt.Fprint(nc, "hal") }
 	silent := func(nc net.Conn, r *bufio.Reader) { r.ReadString('\n'); r.ReadString('\n') }
 	addr, end := script(echo, half, silent, silent, echo)
-	p := NewPool(NewRoom(2), ever, time.Second)
+	p := NewPool(NewConnLimit(2), ever, time.Second)
 	talk(p, addr, "first", ever, false)
 	talk(p, addr, "on the same", ever, false)
 	p.Close(Target{Addr: addr})
@@ -86,11 +86,11 @@
 	talk(p, addr, "hang", 300*time.Millisecond, false)
 	talk(p, addr, "called off", ever, true)
 	talk(p, addr, "on a new one", ever, false)
-	until(func() bool { return p.room.Used() == 0 }) // after half of what the host keeps one idle for
+	until(func() bool { return p.limit.InUse() == 0 }) // after half of what the host keeps one idle for
 	end()
 	talk(p, addr, "closed", ever, false)
-	until(func() bool { return p.room.Used() == 0 })
-	fmt.Println("open:", p.room.Used())
+	until(func() bool { return p.limit.InUse() == 0 })
+	fmt.Println("open:", p.limit.InUse())
 	// Output:
 	// first: answered "re first\n", 1 opened
 	// on the same: answered "re on the same\n", 1 opened
@@ -113,14 +113,14 @@
 	}
 	addr, end := script(host("the first's"), host("the successor's"))
 	defer end()
-	p := NewPool(NewRoom(3), ever, ever)
+	p := NewPool(NewConnLimit(3), ever, ever)
 	first, second := Target{1, addr}, Target{2, addr}
 	talkTo(p, first, "first", ever, false)
 	talkTo(p, second, "to its successor", ever, false)
 	talkTo(p, first, "second", ever, false)
 	p.Close(first)
 	p.Close(second)
-	until(func() bool { return p.room.Used() == 0 })
+	until(func() bool { return p.limit.InUse() == 0 })
 	fmt.Println("kept of hosts that have gone:", len(p.free))
 	// Output:
 	// first: answered "the first's\n", 1 opened
@@ -139,8 +139,8 @@
 		panic(err)
 	}
 	defer nc.Close()
-	c := &hostConn{nc: nc, see: sightOf(nc), r: bufio.NewReader(nc)}
-	until(c.see.any)
+	c := &hostConn{conn: nc, socket: socketStateOf(nc), r: bufio.NewReader(nc)}
+	until(c.socket.readable)
 	fmt.Println("sent:", c.send(&Exchange{Until: time.Now().Add(ever), Message: func() net.Buffers { return nil }}))
 	// Output: sent: false
 }
@@ -155,33 +155,33 @@
 	done := make(chan How)
 	x := &Exchange{Until: time.Now().Add(time.Second), Done: func(how How) { done <- how }}
 	x.GiveUp()
-	NewPool(NewRoom(2), ever, time.Second).Start(Target{Addr: addr}, x)
+	NewPool(NewConnLimit(2), ever, time.Second).Start(Target{Addr: addr}, x)
 	fmt.Println(hows[<-done])
 	// Output: withdrawn
 }
 
-// front is one that answers lines.
-func front(room *Room, most int) *Front {
+// startLineServer is one that answers lines.
+func startLineServer(limit *ConnLimit, maxClients int) *Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	f := Listen(ln, room, most, 1)
-	go f.Serve(func(c *Client) {
-		for c.Await() == nil {
-			line, err := c.R.ReadString('\n')
-			if err != nil || !c.Whole() {
+	l := NewListener(ln, limit, maxClients, 1)
+	go l.Serve(func(c *Client) {
+		for c.AwaitRequest() == nil {
+			line, err := c.Reader.ReadString('\n')
+			if err != nil || !c.MarkActive() {
 				return
-			} else if c.Over {
+			} else if c.OverLimit {
 				c.Write(net.Buffers{[]byte("no room\n")})
 				return
 			} else if line == "stay\n" {
-				c.Watch(func() bool { return true })
+				c.WatchForClose(func() bool { return true })
 			}
 			c.Write(net.Buffers{[]byte("ok\n")})
 		}
 	})
-	return f
+	return l
 }
 
 func say(nc net.Conn, more string) {
@@ -191,23 +191,23 @@
 	fmt.Printf("go: %q, %s\n", text, more)
 }
 
-// Clients that say nothing, or never all, give way before one that may come again; and one over the room takes the place
+// Clients that say nothing, or never all, give way before one that may come again; and one over the limit takes the place
 // of such a one as soon as it has said what it came for. Crowds of them would take all the room else.
-func ExampleClient_Whole() {
-	f := front(NewRoom(2), 2)
+func ExampleClient_MarkActive() {
+	l := startLineServer(NewConnLimit(2), 2)
 	dial := func() net.Conn {
-		accepted := f.Accepted.Load()
-		nc, _ := net.Dial("tcp", f.Addr())
-		until(func() bool { return f.Accepted.Load() > accepted })
+		accepted := l.Accepted.Load()
+		nc, _ := net.Dial("tcp", l.Addr())
+		until(func() bool { return l.Accepted.Load() > accepted })
 		return nc
 	}
-	at := func(at doing, many int) { // an answer is read before the front has seen that it is written
+	waitForState := func(state connState, many int) { // an answer is read before the listener has seen that it is written
 		until(func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
+			l.mu.Lock()
+			defer l.mu.Unlock()
 			n := 0
-			for c := range f.open {
-				if c.doing == at {
+			for c := range l.clients {
+				if c.state == state {
 					n++
 				}
 			}
@@ -217,19 +217,19 @@
 	known := dial()
 	say(known, "known")
 	dial()
-	at(silent, 1)
-	time.Sleep(2 * speakWithin)
+	waitForState(stateNew, 1)
+	time.Sleep(2 * newClientGrace)
 	half := dial()
 	say(half, "for one that said nothing")
 	fmt.Fprint(half, "ha")
-	at(torn, 1)
-	time.Sleep(tornWithin + speakWithin)
+	waitForState(stateReading, 1)
+	time.Sleep(partialRequestGrace + newClientGrace)
 	third := dial()
 	say(third, "for one that sent half")
 	say(known, "still there")
 	fmt.Fprintln(known, "stay")
 	fmt.Fprintln(third, "stay")
-	at(owed, 2)
+	waitForState(stateActive, 2)
 	over := dial()
 	fmt.Fprintln(third, "go")
 	third.SetReadDeadline(time.Now().Add(ever))
@@ -237,14 +237,14 @@
 	stayed, _ := answers.ReadString('\n')
 	text, _ := answers.ReadString('\n')
 	fmt.Printf("stay, go: %q, %q, answered, and soon idle\n", stayed, text)
-	at(idle, 1)
+	waitForState(stateIdle, 1)
 	say(over, "over the room until it spoke")
-	f.Shut()
+	l.Shutdown()
 	known.Close()
 	third.Close()
-	until(func() bool { return f.Open() == 0 })
-	(&Client{front: f, nc: over}).Settled() // as of one whose client has left just before
-	fmt.Println("counted as idle when all have left:", f.idle)
+	until(func() bool { return l.OpenClients() == 0 })
+	(&Client{listener: l, conn: over}).MarkIdle() // as of one whose client has left just before
+	fmt.Println("counted as idle when all have left:", l.idleClients)
 	// Output:
 	// go: "ok\n", known
 	// go: "ok\n", for one that said nothing
@@ -257,17 +257,17 @@
 
 // Idle connections to hosts give way to clients, and idle clients to new ones; part of the room is for hosts. A client
 // for whom there is no room is told so.
-func ExampleFront() {
-	room := NewRoom(3)
+func ExampleListener() {
+	limit := NewConnLimit(3)
 	addr, end := script(func(nc net.Conn, r *bufio.Reader) { r.ReadString('\n'); fmt.Fprintln(nc, "hi"); r.ReadByte() })
 	defer end()
-	p := NewPool(room, ever, time.Minute)
-	f := front(room, 3)
+	p := NewPool(limit, ever, time.Minute)
+	l := startLineServer(limit, 3)
 	idle := func() (n int) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for c := range f.open {
-			if c.place && (c.doing == silent || c.doing == idle) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.clients {
+			if c.holdsSlot && (c.state == stateNew || c.state == stateIdle) {
 				n++
 			}
 		}
@@ -279,7 +279,7 @@
 		fmt.Println("held, idle:", idle())
 	}
 	dial := func(left int) net.Conn {
-		nc, _ := net.Dial("tcp", f.Addr())
+		nc, _ := net.Dial("tcp", l.Addr())
 		until(func() bool { return idle() == left })
 		return nc
 	}
@@ -287,7 +287,7 @@
 	first, second, third := dial(1), dial(2), dial(3)
 	stay(second, 2)
 	stay(third, 1)
-	fmt.Println("of hosts gave way:", p.GaveWay.Load())
+	fmt.Println("of hosts gave way:", p.Evicted.Load())
 	say(first, "is idle again")
 	until(func() bool { return idle() == 1 })
 	fourth := dial(1)
@@ -297,9 +297,9 @@
 	second.Close()
 	third.Close()
 	fourth.Close()
-	until(func() bool { return room.Used() == 0 })
-	fmt.Println("places taken when all have left:", room.Used())
-	f.Shut()
+	until(func() bool { return limit.InUse() == 0 })
+	fmt.Println("places taken when all have left:", limit.InUse())
+	l.Shutdown()
 	// Output:
 	// to a host: answered "hi\n", 1 opened
 	// held, idle: 2
