Comments only: listener, client connections and bounds in ordinary technical English

Cause: the doc comments of these files spoke of what is owed, given way and turned away; a newcomer could not tell what is returned, or when.

--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -2,39 +2,40 @@
 
 import "time"
 
+// Sizes and time limits of the package, each with its reason.
 const (
-	clientBufferSize        = 16 << 10                // bytes, of a client's connection: the longest head
-	hostBufferSize          = 8 << 10                 // bytes, of a host's: its heads are short
-	lineBufferSize          = 16 << 10                // bytes, of the list's line: a list of some dozen hosts
-	sendBufferSize          = 160 << 10               // bytes: a whole message with its head, so that writing it does not wait
-	hostIdleDivisor         = 2                       // of the time for which hosts keep a connection: to it, not over it, we drop ours
-	lineConnectTimeout      = 2 * time.Second         // for a line to come up: what vanished says nothing, however long calls may wait
-	lineMinRate             = 128 << 10               // bytes a second, of a list that comes, at the least: the longest one in half a minute
-	lineSilenceTimeout      = 1500 * time.Millisecond // for the next piece of one
-	acceptRetryDelay        = 5 * time.Millisecond    // after an accept that went wrong, or for room: descriptors come free that fast
-	newClientTimeout        = 2 * time.Second         // for a new client to say something: it came in order to
-	clientIdleTimeout       = 4 * time.Second         // for which a client that may come again is kept: it costs a socket
-	idleClientsDivisor      = 5                       // one client in so many of the most there may be is kept idle, the latest ones
-	requestTimeout          = 2500 * time.Millisecond // for a message to come whole; a first one, from connecting: a word is owed in 3 s
-	overLimitTimeout        = 250 * time.Millisecond  // for a client over the limit to send what it came for
-	newClientGrace          = 20 * time.Millisecond   // before a new client that says nothing gives way: what it sends comes with it
-	partialRequestGrace     = 250 * time.Millisecond  // before a message that is not whole gives way: it comes in one piece as a rule
-	bodyMinRate             = 48 << 10                // bytes a second, of a body at the least: 64 kB are promised
-	bodySilenceTimeout      = 2 * time.Second         // for the next piece of one: an honest client sends as it goes
-	streamWriteTimeout      = 10 * time.Second        // for one piece of what is streamed: a side that takes none for so long is gone
-	wantedPollInterval      = 20 * time.Millisecond   // between looks whether one is still wanted that its host does not take: within the 0.1 s after which a client has gone
-	streamWriteBriefTimeout = 20 * time.Millisecond   // for one, where its host gives more meanwhile: a socket's buffer fills in that time
-	maxBodyTime             = time.Hour               // for a body to come: its pace ends it far sooner
-	closeGrace              = 50 * time.Millisecond   // for a message that has come to a connection about to close: some scheduling
-	drainFirstClose         = 300 * time.Millisecond  // after the word to send clients away: until then fronts send new ones
-	drainLastClose          = 1500 * time.Millisecond // by when the last idle one is closed: nobody may be held for 2 s after it
-	handoverFirstClose      = 10 * time.Millisecond   // after the word to end, where another process takes what comes at once
-	handoverLastClose       = 100 * time.Millisecond  // by when the last idle one is closed: a slow client may need seconds from its first byte on
-	handoverWriteTimeout    = time.Second             // for what is handed over to be taken: the other process is on this machine
-	learntStateTimeout      = 200 * time.Millisecond  // for what a process before has learnt: a start waits for it, and goes on without
-	handoverReadTimeout     = 5 * time.Second         // for all of it to come: the other process may get little of a core
-	maxHandoverBytes        = 3 << 20                 // bytes that are handed over at a time: the longest body that is held whole is most of it
-	lingerTimeout           = 500 * time.Millisecond  // for a client to read a last answer before its connection is closed
-	maxLingerBytes          = 1 << 20                 // bytes of what it still sends meanwhile: far over any message
-	minWriteTimeout         = 500 * time.Millisecond  // for an answer to be written: it fits the socket's buffer as a rule
+	clientBufferSize        = 16 << 10                // bytes, read buffer of a client's connection: the longest head
+	hostBufferSize          = 8 << 10                 // bytes, read buffer of a host's connection: its heads are short
+	lineBufferSize          = 16 << 10                // bytes, read buffer of the line to discovery: a list of some dozen hosts
+	sendBufferSize          = 160 << 10               // bytes, socket send buffer: a whole message with its head, so that writing it does not block
+	hostIdleDivisor         = 2                       // hosts close idle connections after a known time; ours are dropped after this part of it, well before
+	lineConnectTimeout      = 2 * time.Second         // for the line to connect: a peer that vanished sends nothing, however long calls may wait
+	lineMinRate             = 128 << 10               // bytes a second, least rate of a list that arrives: the longest takes half a minute
+	lineSilenceTimeout      = 1500 * time.Millisecond // between two pieces of a list
+	acceptRetryDelay        = 5 * time.Millisecond    // after a failed accept, or while there is no slot: descriptors come free that fast
+	newClientTimeout        = 2 * time.Second         // for a new client to send its first byte: it connected in order to
+	clientIdleTimeout       = 4 * time.Second         // for which an idle connection is kept, as its client may send again: it costs a socket
+	idleClientsDivisor      = 5                       // one client slot in so many may be idle; beyond that the longest idle is closed
+	requestTimeout          = 2500 * time.Millisecond // for a request to arrive, the first from the accept on: a response is promised within 3 s
+	overLimitTimeout        = 250 * time.Millisecond  // for a client over the limit to send its request
+	newClientGrace          = 20 * time.Millisecond   // before a silent new client may be evicted: its request follows its connect at once
+	partialRequestGrace     = 250 * time.Millisecond  // before a partial request may be evicted: requests arrive in one piece as a rule
+	bodyMinRate             = 48 << 10                // bytes a second, least rate of a body: 64 kB/s are promised by clients
+	bodySilenceTimeout      = 2 * time.Second         // between two pieces of a body: an honest client sends as it goes
+	streamWriteTimeout      = 10 * time.Second        // for one piece of a stream: a peer that takes nothing for so long is gone
+	wantedPollInterval      = 20 * time.Millisecond   // between checks whether a piece that a host does not take is still wanted: a client's close must be acted on within 0.1 s
+	streamWriteBriefTimeout = 20 * time.Millisecond   // for one piece while the host sends more meanwhile: a socket's buffer fills in that time
+	maxBodyTime             = time.Hour               // for a body to arrive: its least rate ends it far sooner
+	closeGrace              = 50 * time.Millisecond   // for a request that has arrived on a connection about to close: some scheduling
+	drainFirstClose         = 300 * time.Millisecond  // after a drain begins: until then load balancers in front still send new clients
+	drainLastClose          = 1500 * time.Millisecond // by when the last idle connection is closed: none may be kept for 2 s
+	handoverFirstClose      = 10 * time.Millisecond   // after a handover begins: another process accepts at once
+	handoverLastClose       = 100 * time.Millisecond  // by when the last idle connection is closed: a slow client may need seconds for its request
+	handoverWriteTimeout    = time.Second             // for a handover to be taken: the other process is on this machine
+	learntStateTimeout      = 200 * time.Millisecond  // for what the previous process has learnt: a start waits for it, and goes on without
+	handoverReadTimeout     = 5 * time.Second         // for all of a handover to arrive: the other process may get little of a core
+	maxHandoverBytes        = 3 << 20                 // bytes of one handover: mostly the longest body that is held whole
+	lingerTimeout           = 500 * time.Millisecond  // for a client to read a last response before its connection is closed
+	maxLingerBytes          = 1 << 20                 // bytes discarded meanwhile: far more than any request has left
+	minWriteTimeout         = 500 * time.Millisecond  // for a response to be written: it fits the socket's buffer as a rule
 )
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// Client is a client's connection. OverLimit marks one over the connection limit: it gets one answer. Reader holds from AwaitRequest to
-// WatchForClose: one that says nothing has no buffer.
+// Client is one client's connection. The goroutine of its handler is the only one that reads; whoever has the
+// response writes it.
+//
+// Reader holds the request being read, from AwaitRequest to WatchForClose; an idle connection has no buffer.
+// OverLimit is set on a connection without a slot of the connection limit, which is to get one response and
+// be closed.
 type Client struct {
 	Reader     *bufio.Reader
 	OverLimit  bool
@@ -17,37 +21,41 @@
 	socket     socketState
 	acceptedAt time.Time
 
-	readStart      time.Time     // from when the message may take its time; its goroutine's, as are the next ones
-	readTimeout    time.Duration // for its head
-	received       int           // bytes of it
-	inherited      []byte        // what another process has read of it
-	retained       []byte        // all that has come of it, for another process
-	retainOverflow bool          // that is not all, for want of room
-	dispatched     bool          // it is taken, with its head at the least
-	discarding     atomic.Bool   // nothing but what is dropped comes any more
+	// The request being read; used by the connection's goroutine alone, but for discarding.
+	readStart      time.Time     // the time limits on reading count from here
+	readTimeout    time.Duration // for the head, and added to the time for the body
+	received       int           // bytes read so far
+	inherited      []byte        // bytes that the previous process had read; returned before those of the socket
+	retained       []byte        // a copy of the bytes read, for the next process
+	retainOverflow bool          // retained is not complete, as the budget for it was used up
+	dispatched     bool          // MarkActive was called: at least the head has been handled
+	discarding     atomic.Bool   // the rest of the request is read only to be thrown away
 
-	state         connState // guarded by the listener, as is all below
+	// All that follows is guarded by the listener's lock.
+	state         connState
 	stateSince    time.Time
-	sentRequest   bool // a message of it has come whole
-	closed        bool // closed while nothing was owed
-	pipelined     bool // some of its next message has been read
-	waiting       bool // its end is waited for, or a look
-	woken         bool // that has come
-	holdsSlot     bool // it has one of the connection limit's
-	streamingBody bool // its message is taken and still comes
+	sentRequest   bool // a request has been received on this connection
+	closed        bool // closed by the listener, with no response outstanding
+	pipelined     bool // some of the next request is in Reader
+	waiting       bool // within WaitUnlessClosed or ReadWhileWaiting
+	woken         bool // Wake was called since
+	holdsSlot     bool // remove must release a slot of the connection limit
+	streamingBody bool // the request is dispatched and its body still arrives
 }
 
-// connState is what a client's connection is at, in the order in which they give way to others.
+// connState is what a client's connection is doing. The order is that of eviction: connections of a lower
+// state are closed first.
 type connState int
 
 const (
-	stateFinished connState = iota // its last answer is written
-	stateNew                       // new, and nothing has come yet
-	stateReading                   // a message has begun and is not whole
-	stateIdle                      // between messages
-	stateActive                    // a message waits for its answer
+	stateFinished connState = iota // the last response is written; input is discarded
+	stateNew                       // accepted, no byte read yet
+	stateReading                   // part of a request has been read
+	stateIdle                      // between requests
+	stateActive                    // a request awaits its response
 )
 
+// serve runs the handler in a new goroutine and closes the connection when it returns.
 func (c *Client) serve(handle func(*Client)) {
 	go func() {
 		defer c.remove()
@@ -55,6 +63,7 @@
 	}()
 }
 
+// remove closes the connection, unregisters it, and gives back its slot and buffer.
 func (c *Client) remove() {
 	c.dropRetained()
 	c.listener.mu.Lock()
@@ -77,11 +86,12 @@
 	}
 }
 
-// setState notes what the connection is at from now on; it is false where the listener has closed it.
+// setState records what the connection does from now on. It returns false if the connection has been closed
+// by the listener or is not registered any more.
 func (c *Client) setState(state connState) bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if _, open := c.listener.clients[c]; !open { // its client has left while it was answered: it is counted no more
+	if _, open := c.listener.clients[c]; !open { // the handler has returned: the connection is not counted any more
 		return false
 	}
 	if c.state == stateIdle {
@@ -97,13 +107,15 @@
 	return !c.closed
 }
 
-// MarkActive says that a message has come whole and is owed an answer. One over the limit takes a place now if others only sit on
-// theirs. It is false where the connection has been closed.
+// MarkActive records that a request has been received, at least to the end of its head, and awaits its
+// response. A connection over the limit tries for a slot again, as a client that has sent a request goes
+// before those that only hold one. It returns false if the connection has been closed meanwhile; the request
+// is not to be handled then.
 func (c *Client) MarkActive() bool {
 	c.dispatched = true
 	c.dropRetained()
 	open := c.setState(stateActive)
-	c.conn.SetReadDeadline(time.Time{}) // after that: until then reject may set one, by which the client would seem to have left
+	c.conn.SetReadDeadline(time.Time{}) // after setState: before it, reject may set a deadline, which would look like the client's close
 	if c.OverLimit && c.listener.acquireSlot() {
 		c.OverLimit = false
 		c.listener.mu.Lock()
@@ -115,18 +127,20 @@
 	return open
 }
 
-// MarkIdle says that the message has its answer; nothing is owed any more.
+// MarkIdle records that the request has its response, and starts the idle time-out.
 func (c *Client) MarkIdle() { c.setIdleDeadline(c.becomeIdle()) }
 
-// becomeIdle makes the connection idle, and tells until when it may be.
+// becomeIdle puts the connection into stateIdle and returns when its idle time-out ends. It may close another
+// connection that has been idle for longer (see trimIdle).
 func (c *Client) becomeIdle() time.Time {
 	c.setState(stateIdle)
 	c.listener.trimIdle()
 	return time.Now().Add(clientIdleTimeout)
 }
 
-// setIdleDeadline is until when a connection may say nothing. It is set under the listener's lock: one that became idle just as clients
-// were sent away would stay for all of its time.
+// setIdleDeadline sets until when the connection may stay idle: the deadline given, or sooner during a drain
+// or shutdown. It holds the listener's lock, so that a connection that becomes idle just as a drain begins is
+// closed with the drain and not after its whole idle time.
 func (c *Client) setIdleDeadline(deadline time.Time) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -139,5 +153,5 @@
 	c.conn.SetReadDeadline(deadline)
 }
 
-// Close ends the connection.
+// Close closes the connection. Its handler must still return before the slot is free.
 func (c *Client) Close() { c.conn.Close() }
--- a/internal/transport/client_read.go
+++ b/internal/transport/client_read.go
@@ -9,12 +9,13 @@
 	"time"
 )
 
-// ErrShuttingDown is a message that is not whole as its process ends.
+// ErrShuttingDown is returned by reads of a request that is not complete as the process ends.
 var ErrShuttingDown = errors.New("not whole as the process ends")
 
+// readerPool holds the buffers of connections that are reading a request.
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientBufferSize) }}
 
-// releaseReader gives the buffer back.
+// releaseReader returns the buffer to the pool.
 func (c *Client) releaseReader() {
 	if c.Reader != nil {
 		c.Reader.Reset(nil)
@@ -23,8 +24,12 @@
 	}
 }
 
-// AwaitRequest waits for the first byte of a message. Until it comes the connection may be closed, and is where it has nothing to say
-// for long.
+// AwaitRequest waits for the first byte of the next request and sets the deadline for the whole of it. While
+// it waits the connection is idle: it may be evicted, and is closed at its idle time-out.
+//
+// It returns ErrShuttingDown if the process ends before a new connection has sent anything, net.ErrClosed if
+// the listener closed the connection in the same moment (the client finds the request unread and may send it
+// again elsewhere), and else the error of the connection.
 func (c *Client) AwaitRequest() error {
 	if c.Reader == nil || c.Reader.Buffered() == 0 {
 		c.releaseReader()
@@ -36,7 +41,7 @@
 		c.Reader = readerPool.Get().(*bufio.Reader)
 		c.Reader.Reset((*pacedReader)(c))
 	}
-	if !c.setState(stateReading) { // closed just as something came: unread, the client sends it again elsewhere
+	if !c.setState(stateReading) { // evicted as its first byte came
 		return net.ErrClosed
 	}
 	c.readStart, c.readTimeout, c.received, c.dispatched, c.retainOverflow = time.Now(), requestTimeout, 0, false, c.listener.retainBudget.Load() <= 0
@@ -52,7 +57,8 @@
 	return c.conn.SetReadDeadline(c.readStart.Add(c.readTimeout))
 }
 
-// awaitFirstByte waits while nothing is owed.
+// awaitFirstByte waits until there is something to read, for as long as a connection in its state may stay
+// silent.
 func (c *Client) awaitFirstByte() error {
 	deadline := c.acceptedAt.Add(newClientTimeout)
 	switch {
@@ -64,21 +70,25 @@
 	c.setIdleDeadline(deadline)
 	err := c.socket.waitReadable()
 	switch {
-	case err != nil && c.socket.readable(): // as its time was up
+	case err != nil && c.socket.readable(): // arrived as the deadline passed
 		err = nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && !c.sentRequest && !c.OverLimit && c.listener.rejecting.Load() == rejectUndispatched:
-		err = ErrShuttingDown // it has only just come
+		err = ErrShuttingDown // accepted just before the end: hand it over, don't close it
 	}
 	return err
 }
 
-// pacedReader reads a client's messages. A body may take its time, at the pace that is owed.
+// pacedReader reads a client's requests under deadlines that move with what has arrived: beside the time for
+// the head a body gets a second for each bodyMinRate bytes, and may not pause for longer than
+// bodySilenceTimeout.
 type pacedReader Client
 
+// Read implements io.Reader. It returns os.ErrDeadlineExceeded if the client is too slow or Wake is called,
+// and ErrShuttingDown if the request is rejected as the process ends.
 func (r *pacedReader) Read(b []byte) (int, error) {
 	if r.received > 0 && !r.discarding.Load() {
 		deadline := r.readStart.Add(r.readTimeout + time.Duration(r.received)*time.Second/bodyMinRate)
-		if r.received > clientBufferSize { // it is within a body
+		if r.received > clientBufferSize { // more than a head can be: within a body
 			deadline = earlier(deadline, time.Now().Add(bodySilenceTimeout))
 		}
 		if !(*Client)(r).setReadDeadline(deadline) {
@@ -100,7 +110,7 @@
 	return n, err
 }
 
-// rejected tells whether the message is turned away.
+// rejected reports whether the request is rejected as the process ends.
 func (r *pacedReader) rejected() bool {
 	switch r.listener.rejecting.Load() {
 	case rejectUndispatched:
@@ -111,7 +121,8 @@
 	return false
 }
 
-// setReadDeadline is until when what is read now is to come; it is false where a Wake has come.
+// setReadDeadline sets the deadline of the next read; it returns false, and leaves the deadline alone, if
+// Wake was called.
 func (c *Client) setReadDeadline(deadline time.Time) bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -122,17 +133,19 @@
 	return true
 }
 
-// ExtendReadTime is the time for which a message was not read, as a host took it slowly; its client is not slow by that.
+// ExtendReadTime adds to the time that the client has for its request. It is called with the time for which
+// nothing was read because a host took the body slowly, which is not the client's fault.
 func (c *Client) ExtendReadTime(d time.Duration) { c.readStart = c.readStart.Add(d) }
 
-// BeginBody says that the message is taken and still comes.
+// BeginBody records that the request is dispatched while its body still arrives.
 func (c *Client) BeginBody() {
 	c.listener.mu.Lock()
 	c.streamingBody = true
 	c.listener.mu.Unlock()
 }
 
-// EndBody says that the message has come whole, where that was not so when it was taken.
+// EndBody records that the body of which BeginBody told has been read to its end, and lifts the read
+// deadline.
 func (c *Client) EndBody() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -140,7 +153,8 @@
 	c.conn.SetReadDeadline(time.Time{})
 }
 
-// retain keeps what comes of a message that may be handed over, as long as there is room for that.
+// retain copies bytes of a request that may have to be handed over to the next process, as long as the budget
+// of the listener allows; once it does not, what was copied of the request is of no use and is dropped.
 func (c *Client) retain(b []byte) {
 	if c.retainOverflow || c.dispatched || len(b) == 0 {
 		return
@@ -153,12 +167,14 @@
 	c.dropRetained()
 }
 
+// dropRetained gives the bytes of the copy back to the budget.
 func (c *Client) dropRetained() {
 	c.listener.retainBudget.Add(int64(len(c.retained)))
 	c.retained = nil
 }
 
-// Retained is all that has come of a message that is turned away, where it was kept.
+// Retained returns the bytes that have been received of a request that ended with ErrShuttingDown. complete
+// is false if some of them were not retained; the request can't be handed over then.
 func (c *Client) Retained() (received []byte, complete bool) {
 	return append(c.retained, c.inherited...), !c.retainOverflow
 }
--- a/internal/transport/client_watch.go
+++ b/internal/transport/client_watch.go
@@ -7,14 +7,18 @@
 	"time"
 )
 
-// WatchForClose waits until the client closes, or the message is settled and the next one comes; it is whole now. What comes before that waits its
-// turn, and its client may close all the same. Once the message is answered, be it that the client says nothing, the connection is idle, and
-// closed as such: counted as busy until the next message, those of clients that ask once would take all room for good.
+// WatchForClose waits until answered returns true and the client's next request begins; it returns an error
+// as soon as the client closes the connection. It is called once the whole request has been read. Bytes of
+// the next request that arrive before the response stay unread, and a close is noticed behind them as well.
+//
+// Once the request has its response the connection counts as idle, with the idle deadline, even though this
+// call still waits: counted as active until their next request, clients that send a single one would hold all
+// slots for good.
 func (c *Client) WatchForClose(answered func() bool) error {
 	if c.Reader.Buffered() == 0 {
 		c.releaseReader()
 		err := c.socket.waitReadable()
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.socket.readable() { // as its time was up
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.socket.readable() { // arrived as the deadline passed
 			err = nil
 		}
 		if err != nil {
@@ -27,7 +31,8 @@
 	return nil
 }
 
-// WaitUnlessClosed waits until something has come about, which is looked at again with each Wake; it is false where the client closes before that.
+// WaitUnlessClosed waits until done returns true; it returns false if the client closes the connection
+// before. done is called at the start and after each Wake.
 func (c *Client) WaitUnlessClosed(done func() bool) bool {
 	c.setWaiting(true)
 	defer c.setWaiting(false)
@@ -35,11 +40,12 @@
 		if err := c.socket.waitPeerClosed(); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
-		c.conn.SetReadDeadline(time.Time{}) // before it is looked at: what comes about from now on ends the wait anew
+		c.conn.SetReadDeadline(time.Time{}) // before done is called: a Wake from now on ends the next wait
 	}
 	return true
 }
 
+// setWaiting switches the reaction to Wake on or off.
 func (c *Client) setWaiting(on bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -48,8 +54,10 @@
 	}
 }
 
-// ReadWhileWaiting reads some of what comes until something else has come about, which is looked at again with each Wake: its client's end stands behind
-// what it has sent, and is not seen as long as that does not fit this machine's socket.
+// ReadWhileWaiting calls read once, unless done returns true, and returns its result. Wake interrupts the
+// read: if done then returns true the error is nil. It reads a body ahead of need because a client's close is
+// queued behind the data it has sent, and is not noticed while that data does not fit the socket's receive
+// buffer.
 func (c *Client) ReadWhileWaiting(done func() bool, read func() (int, error)) (n int, err error) {
 	c.setWaiting(true)
 	defer c.setWaiting(false)
@@ -62,15 +70,15 @@
 	return n, err
 }
 
-// Wake has WaitUnlessClosed and ReadWhileWaiting look whether it has come about.
+// Wake has WaitUnlessClosed and ReadWhileWaiting call done again. Outside of these it has no effect.
 func (c *Client) Wake() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.waiting { // else the reading of something else would end
+	if c.waiting { // else it would interrupt an unrelated read
 		c.woken = true
 		c.conn.SetReadDeadline(time.Now())
 	}
 }
 
-// PeerClosed tells whether the client has closed.
+// PeerClosed reports whether the client has closed the connection, even if unread bytes come before that.
 func (c *Client) PeerClosed() bool { return c.socket.peerClosed() }
--- a/internal/transport/client_write.go
+++ b/internal/transport/client_write.go
@@ -7,13 +7,14 @@
 	"time"
 )
 
-// ErrWriteTimeout is a client that did not take all in time.
+// ErrWriteTimeout is returned by writes that the client did not take in time, or that InterruptWrite ended.
 var ErrWriteTimeout = os.ErrDeadlineExceeded
 
-// Write answers the client.
+// Write writes a response, within minWriteTimeout.
 func (c *Client) Write(b net.Buffers) error { return c.WriteWithDeadline(b, time.Now()) }
 
-// WriteWithDeadline answers a client that waits until then, and may read slowly.
+// WriteWithDeadline writes a response until the deadline, but for no less than minWriteTimeout: a client that
+// waits for long may also read slowly.
 func (c *Client) WriteWithDeadline(b net.Buffers, deadline time.Time) error {
 	if earliest := time.Now().Add(minWriteTimeout); deadline.Before(earliest) {
 		deadline = earliest
@@ -23,8 +24,9 @@
 	return err
 }
 
-// WriteStream writes a piece of a streamed answer; its client may take it slowly. It gives back what could not be written, soon where there is
-// something else to do meanwhile.
+// WriteStream writes part of a streamed response within streamWriteTimeout, or within streamWriteBriefTimeout
+// if brief is set because there is something else to do meanwhile. It returns the bytes that were not
+// written.
 func (c *Client) WriteStream(b net.Buffers, brief bool) (net.Buffers, error) {
 	timeout := streamWriteTimeout
 	if brief {
@@ -35,11 +37,12 @@
 	return b, err
 }
 
-// InterruptWrite ends the writing of a piece.
+// InterruptWrite makes a write in progress return with ErrWriteTimeout.
 func (c *Client) InterruptWrite() { c.conn.SetWriteDeadline(time.Now()) }
 
-// WriteFinal writes a last answer and lets the client read it: closed with input unread the connection would be reset, and
-// the answer lost with it.
+// WriteFinal writes the last response of the connection, closes the sending side, and discards input for up
+// to lingerTimeout. If the connection were closed with input unread, TCP would reset it, and the client could
+// lose the response.
 func (c *Client) WriteFinal(b net.Buffers) {
 	if c.Write(b) == nil && c.conn.(*net.TCPConn).CloseWrite() == nil && c.setState(stateFinished) {
 		c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -47,7 +50,8 @@
 	}
 }
 
-// CloseWrite says that the last answer is written while its message still comes: what comes is to be dropped for a moment.
+// CloseWrite closes the sending side after the last response has been written while the request is still
+// arriving. The goroutine that reads has lingerTimeout from now on to discard the rest.
 func (c *Client) CloseWrite() {
 	c.discarding.Store(true)
 	c.conn.(*net.TCPConn).CloseWrite()
@@ -58,10 +62,11 @@
 	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// DiscardInput reads what still comes after CloseWrite.
+// DiscardInput reads and drops what arrives after CloseWrite, up to maxLingerBytes.
 func (c *Client) DiscardInput() { io.CopyN(io.Discard, c.conn, maxLingerBytes) }
 
-// Reset ends the connection within an answer so that its client can tell, whatever the answer's form.
+// Reset aborts the connection with a TCP reset, so that the client can tell that a response is incomplete,
+// even one whose end is the end of the connection.
 func (c *Client) Reset() {
 	c.conn.(*net.TCPConn).SetLinger(0)
 	c.conn.Close()
--- a/internal/transport/conn_limit.go
+++ b/internal/transport/conn_limit.go
@@ -1,5 +1,6 @@
-// Package transport holds listeners, connections, pools of them and datagrams. It carries bytes and knows
-// nothing of what they say.
+// Package transport holds the gateway's sockets: the clients' listener and its connections, the pool of
+// connections to hosts, the line to discovery, datagrams between gateways, handover to the next process, and
+// the limit on all of them. It carries bytes and does not interpret them.
 package transport
 
 import (
@@ -8,28 +9,34 @@
 	"time"
 )
 
-// ConnLimit bounds the sockets of the whole gateway. Idle ones give way to those that have something to do.
+// ConnLimit is a semaphore that bounds the number of open connections of the process. When it is full, idle
+// connections are closed in favour of new ones. All methods but AddEvictor may be called from any goroutine.
 type ConnLimit struct {
 	mu       sync.Mutex
 	max      int
 	inUse    int
-	evictors []func() bool // closes an idle socket, which does not leave; those of hosts first
-	waiter   chan struct{} // held by the first of those that wait for a place
+	evictors []func() bool // see AddEvictor
+	waiter   chan struct{} // held by the caller of Acquire that is next
 }
 
+// NewConnLimit returns a limit of max connections.
 func NewConnLimit(max int) *ConnLimit { return &ConnLimit{max: max, waiter: make(chan struct{}, 1)} }
 
-// SetMax sets how many sockets there may be from now on; those over it are not closed, but none is added.
+// SetMax changes the limit. Connections beyond a lower limit stay open; no slot is given out until there are
+// fewer.
 func (l *ConnLimit) SetMax(max int) {
 	l.mu.Lock()
 	l.max = max
 	l.mu.Unlock()
 }
 
-// AddEvictor adds a way to close an idle socket.
+// AddEvictor adds a function that closes one idle connection and leaves its slot to the caller, without a
+// Release, or returns false if none is idle. Evictors are called in the order in which they were added, under
+// the limit's lock. All must be added before the first TryAcquire.
 func (l *ConnLimit) AddEvictor(evict func() bool) { l.evictors = append(l.evictors, evict) }
 
-// TryAcquire takes a place. Where none is free an idle socket is closed and hands its place on.
+// TryAcquire takes a slot, if need be that of an idle connection which is closed for it. It returns false if
+// there is neither.
 func (l *ConnLimit) TryAcquire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -45,8 +52,9 @@
 	return false
 }
 
-// Acquire takes a place as TryAcquire does. Where there is none it waits for one, those that wait one after the other, until ctx ends: all clients may
-// have something to do, or have only just come, and in some milliseconds one gives way.
+// Acquire takes a slot as TryAcquire does, and waits for one until ctx ends; it returns false then. Callers
+// wait in turn. A wait is worth while even if no connection is idle: new clients become evictable within
+// milliseconds.
 func (l *ConnLimit) Acquire(ctx context.Context) bool {
 	if l.TryAcquire() {
 		return true
@@ -67,13 +75,14 @@
 	return true
 }
 
+// Release gives a slot back.
 func (l *ConnLimit) Release() {
 	l.mu.Lock()
 	l.inUse--
 	l.mu.Unlock()
 }
 
-// InUse is how many places are taken.
+// InUse returns the number of slots taken.
 func (l *ConnLimit) InUse() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/drain.go
+++ b/internal/transport/drain.go
@@ -2,15 +2,17 @@
 
 import "time"
 
-// How far messages that are not whole are turned away as the process ends.
+// Which requests are rejected as the process ends (Listener.rejecting).
 const (
-	rejectUndispatched = 1 + iota // those of which a host has nothing
-	rejectIncomplete
+	rejectUndispatched = 1 + iota // incomplete, and no host has any of it
+	rejectIncomplete              // incomplete
 )
 
-// SetDraining sends clients away, or takes them again. The listener stays open, as some come for a while yet, and each answer is
-// to say that its connection closes; on those on which nothing is owed nothing will be said, so they close by themselves, one
-// after the other: all clients at once would come to the other gateways in one moment. One that is told so stays told.
+// SetDraining starts or ends a drain. The listener stays open, as clients keep coming for a while. During a
+// drain responses are to say that the connection closes, and idle connections, which get no further response,
+// are closed one after the other between drainFirstClose and drainLastClose: all at once their clients would
+// arrive at the other gateways in one moment. Ending the drain does not keep open connections that were told
+// to close.
 func (l *Listener) SetDraining(draining bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -22,18 +24,19 @@
 	}
 }
 
-// Draining tells whether clients are sent away.
+// Draining reports whether clients are being drained, by SetDraining or HandOver.
 func (l *Listener) Draining() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.draining
 }
 
-// scheduleIdleCloses closes what is idle between these times from now.
+// scheduleIdleCloses spreads the closing of all idle connections evenly between two times from now. The
+// caller holds the lock.
 func (l *Listener) scheduleIdleCloses(first, last time.Duration) {
 	n, now := time.Duration(0), time.Now()
 	l.drainDeadline = now.Add(last)
-	for c := range l.clients { // in any order: each gets a moment
+	for c := range l.clients { // in any order: each gets a time of its own
 		if c.state == stateIdle && !c.closed {
 			c.conn.SetReadDeadline(now.Add(first + (last-first)*n/time.Duration(l.idleClients)))
 			n++
@@ -41,8 +44,10 @@
 	}
 }
 
-// HandOver leaves what is not accepted yet to the process that shares the listening socket, and goes on with the rest until it is
-// answered. Clients go on using what stays open, so that is kept for as long as what comes on it can still be answered.
+// HandOver stops accepting, which leaves connections that wait in the accept queue to the process that shares
+// the listening socket, closes idle connections within handoverLastClose, and goes on with the others until they
+// have their response. Incomplete requests that have not been dispatched end with ErrShuttingDown from now on,
+// so that their handlers can pass them on.
 func (l *Listener) HandOver() {
 	l.ln.Close()
 	l.mu.Lock()
@@ -52,28 +57,32 @@
 	l.reject(rejectUndispatched)
 }
 
-// SetRetainBudget has what comes of messages that are not whole be kept, up to so many bytes in all, for another process to hear them out.
+// SetRetainBudget sets how many bytes of incomplete requests may be retained in all, for the next process to
+// read them again. It is zero at first: nothing is retained.
 func (l *Listener) SetRetainBudget(bytes int64) { l.retainBudget.Store(bytes) }
 
-// RejectIncomplete ends the reading of all messages that are not whole yet. What came whole later could not be answered before the process is
-// ended, and would be lost.
+// RejectIncomplete ends the reading of all requests that are not complete, dispatched or not, with
+// ErrShuttingDown: a request that were completed later could not get its response before the process is
+// killed.
 func (l *Listener) RejectIncomplete() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reject(rejectIncomplete)
 }
 
-// reject has the goroutines that read look at how far messages are turned away now.
+// reject sets which requests are rejected, and interrupts the reads concerned so that they notice. The caller
+// holds the lock.
 func (l *Listener) reject(level int32) {
 	l.rejecting.Store(level)
-	for c := range l.clients { // in any order: all are
+	for c := range l.clients { // in any order: it concerns all
 		if c.state == stateReading || c.state == stateNew || level == rejectIncomplete && c.streamingBody {
 			c.conn.SetReadDeadline(time.Now())
 		}
 	}
 }
 
-// Shutdown takes no new connections and closes those on which nothing is owed, at once or once it is answered.
+// Shutdown stops accepting and closes connections on which no response is outstanding: new and idle ones with
+// nothing to read at once, all others soon after their response. Finished tells when none is left.
 func (l *Listener) Shutdown() {
 	l.ln.Close()
 	l.mu.Lock()
--- a/internal/transport/evict.go
+++ b/internal/transport/evict.go
@@ -2,8 +2,10 @@
 
 import "time"
 
-// evictable tells whether a connection may be closed for another now. One that has said nothing may have been accepted just
-// before what it sends is read; nothing may be closed on which something has come.
+// evictable reports whether the connection may be closed in favour of another at the time given. None is on
+// which bytes have arrived and not been read. A new one that has sent nothing is spared for newClientGrace,
+// since its first bytes may be just behind its accept, and a partial request for partialRequestGrace. The
+// caller holds the listener's lock.
 func (c *Client) evictable(now time.Time) bool {
 	switch c.state {
 	case stateFinished:
@@ -18,13 +20,15 @@
 	return false
 }
 
-// evict closes the connection of which least is lost: crowds that say nothing, or never all, must not cost others theirs.
+// evict closes the evictable connection with the lowest state, among these the one that has been in it
+// longest, so that crowds of silent or half-sent connections don't cost others theirs. The slot of the closed
+// connection passes to the caller. It returns false if there is none to close.
 func (l *Listener) evict() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var victim *Client
 	now := time.Now()
-	for c := range l.clients { // in any order: the least is the same
+	for c := range l.clients { // in any order: the victim is the same
 		if c.holdsSlot && !c.closed && (victim == nil || c.state < victim.state ||
 			c.state == victim.state && c.stateSince.Before(victim.stateSince)) && c.evictable(now) {
 			victim = c
@@ -34,13 +38,14 @@
 		return false
 	}
 	victim.closeNow()
-	victim.holdsSlot = false // it is the newcomer's
+	victim.holdsSlot = false // it is the caller's now
 	l.Evicted.Add(1)
 	return true
 }
 
-// trimIdle closes the connection that has been idle longest where too many are. Clients that ask once and keep their connection
-// may have no more than so many themselves: kept for them, these would keep out the next.
+// trimIdle closes the connection that has been idle longest if more than one in idleClientsDivisor of the
+// client slots is idle. Clients that send one request and keep the connection open would else take the slots
+// of those that come next.
 func (l *Listener) trimIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -58,7 +63,7 @@
 	}
 }
 
-// closeNow closes a connection on which nothing is owed.
+// closeNow closes a connection that has no response outstanding. The caller holds the listener's lock.
 func (c *Client) closeNow() {
 	c.closed = true
 	c.conn.Close()
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -13,44 +13,47 @@
 	"time"
 )
 
-// Listener takes in the connections of clients.
+// Listener accepts clients' connections, bounds how many are open, and drains them. Its methods may be called
+// from any goroutine.
 type Listener struct {
 	ln                net.Listener
 	limit             *ConnLimit
-	maxClients        int // clients, those over the limit aside
+	maxClients        int // slots for clients; connections over the limit don't count
 	mu                sync.Mutex
 	clients           map[*Client]struct{}
-	admitted          int // of these, those not over the limit
-	idleClients       int // of these, those between messages
-	overLimitSlots    chan struct{}
-	closing           bool
-	draining          bool         // clients are sent away
-	accepting         atomic.Bool  // one may have been accepted that is not open yet
-	rejecting         atomic.Int32 // how far messages that are not whole are turned away
-	retainBudget      atomic.Int64 // bytes that may yet be kept of these
-	drainDeadline     time.Time    // when the last of these that says nothing is closed
-	Accepted          atomic.Int64
-	AcceptedOverLimit atomic.Int64 // connections over the limit
-	Evicted           atomic.Int64 // those closed for others
+	admitted          int           // clients that are not over the limit
+	idleClients       int           // clients in stateIdle
+	overLimitSlots    chan struct{} // a semaphore: one element a connection over the limit
+	closing           bool          // Shutdown was called
+	draining          bool          // responses say that the connection closes
+	accepting         atomic.Bool   // Serve runs: a connection may have been accepted and not be in clients yet
+	rejecting         atomic.Int32  // which incomplete requests are rejected: 0 for none, rejectUndispatched or rejectIncomplete
+	retainBudget      atomic.Int64  // bytes of incomplete requests that may still be retained
+	drainDeadline     time.Time     // when the last idle connection of a drain is closed
+	Accepted          atomic.Int64  // connections accepted
+	AcceptedOverLimit atomic.Int64  // of these, those over the connection limit
+	Evicted           atomic.Int64  // connections closed so that others could have their slot
 }
 
-// NewListener opens a listener for so many clients within the limit; maxOverLimit is how many over that may be open, each to be turned away
-// with one answer.
+// NewListener returns a Listener that accepts from ln. At most maxClients connections hold a slot of limit;
+// beside them at most maxOverLimit may be open without one, each of which gets a single response (see
+// Client.OverLimit).
 func NewListener(ln net.Listener, limit *ConnLimit, maxClients, maxOverLimit int) *Listener {
 	l := &Listener{ln: ln, limit: limit, maxClients: maxClients, clients: map[*Client]struct{}{}, overLimitSlots: make(chan struct{}, maxOverLimit)}
 	limit.AddEvictor(l.evict)
 	return l
 }
 
-// InheritedListener takes the listening socket that is open as a descriptor of that number. Closed here it goes on for the processes that
-// share it.
+// InheritedListener returns the listening TCP socket that the process was started with as a file descriptor,
+// given as a decimal number. Closing the result leaves the socket open in the other processes that share it.
+// It fails if the descriptor is no number below 65536, or no listening TCP socket.
 func InheritedListener(descriptor string) (net.Listener, error) {
 	n, err := strconv.ParseUint(descriptor, 10, 16)
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %q is no number", descriptor)
 	}
 	listens, err := syscall.GetsockoptInt(int(n), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-	if err != nil || listens == 0 { // one that does not listen would be taken, and never accept
+	if err != nil || listens == 0 { // FileListener takes a socket that does not listen, and Accept never returns one
 		return nil, fmt.Errorf("descriptor %d is no listening socket", n)
 	}
 	file := os.NewFile(uintptr(n), "clients")
@@ -66,10 +69,11 @@
 	return ln, nil
 }
 
-// Addr is where clients connect.
+// Addr returns the address, host:port, on which clients connect.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Serve hands each connection to handle, in a goroutine of its own, until the listener is closed.
+// Serve accepts connections until the listener is closed, and calls handle for each in a goroutine of its
+// own. The connection is closed when handle returns.
 func (l *Listener) Serve(handle func(*Client)) {
 	l.accepting.Store(true)
 	defer l.accepting.Store(false)
@@ -87,13 +91,14 @@
 	}
 }
 
-// admit takes a connection in, with its place.
+// admit registers an accepted connection, with a slot of the connection limit or as one over it. It blocks
+// while neither is to be had.
 func (l *Listener) admit(conn net.Conn) *Client {
 	l.Accepted.Add(1)
 	conn.(*net.TCPConn).SetWriteBuffer(sendBufferSize)
 	c := &Client{listener: l, conn: conn, socket: socketStateOf(conn), acceptedAt: time.Now(), state: stateNew, stateSince: time.Now()}
 	for c.OverLimit = !l.acquireSlot(); c.OverLimit && !l.acquireOverLimit(); c.OverLimit = !l.acquireSlot() {
-		time.Sleep(acceptRetryDelay) // where even these are too many, the next wait to be accepted
+		time.Sleep(acceptRetryDelay) // further connections wait in the kernel's accept queue meanwhile
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -104,7 +109,7 @@
 	return c
 }
 
-// acquireOverLimit takes a place over the limit.
+// acquireOverLimit takes one of the places for connections over the limit; it returns false if there is none.
 func (l *Listener) acquireOverLimit() bool {
 	select {
 	case l.overLimitSlots <- struct{}{}:
@@ -115,8 +120,9 @@
 	}
 }
 
-// acquireSlot takes a place for a client. Beyond their share clients give way only to each other: what is left is for
-// hosts, without whom no client is answered.
+// acquireSlot takes a slot of the connection limit for a client, and returns false if there is none. Once
+// clients hold their share they only take slots from each other: the rest is for hosts, without which no
+// client gets a response.
 func (l *Listener) acquireSlot() bool {
 	l.mu.Lock()
 	full := l.admitted >= l.maxClients
@@ -127,13 +133,14 @@
 	return l.limit.TryAcquire()
 }
 
-// OpenClients is how many connections there are.
+// OpenClients returns the number of open connections, those over the limit included.
 func (l *Listener) OpenClients() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.clients)
 }
 
-// Finished tells whether, of a listener that takes no more, all have gone: one that was just accepted, and waits for room, is not among the
-// open ones yet.
+// Finished reports whether a listener that accepts no more has no connection left. It asks whether Serve has
+// returned as well, because a connection that was just accepted and waits in admit is not among the open ones
+// yet.
 func (l *Listener) Finished() bool { return !l.accepting.Load() && l.OpenClients() == 0 }
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -9,20 +9,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// socketState looks at what has come on a connection and takes nothing of it, neither bytes nor the error by which it broke. So it can be told for
-// certain whether there was anything at a moment: what a reader has taken already, and not yet spoken of, no look would find.
+// socketState inspects a connection without consuming anything of it: neither bytes nor the pending error of a
+// broken connection. So it tells for certain whether anything had arrived at a moment; bytes that a reader has
+// already taken, and not yet reported, could not be seen by any check.
 type socketState struct{ raw syscall.RawConn }
 
+// socketStateOf returns the state of a TCP connection.
 func socketStateOf(nc net.Conn) socketState {
 	raw, _ := nc.(*net.TCPConn).SyscallConn() // fails only for a connection that was never open
 	return socketState{raw}
 }
 
-// ReadableCheck gives a look at whether something has come on a connection, be it the other side's end. After it the connection is read as it would
-// have been without it: an answer that ends with its connection is whole where that was closed, and broken off where that was reset.
+// ReadableCheck returns a function that reports whether the connection has something to read: data, the
+// peer's close, or an error. The check does not change what a later read finds: a response that ends with its
+// connection is still complete if the peer closed it, and cut off if the peer reset it.
 func ReadableCheck(nc net.Conn) func() bool { return socketStateOf(nc).readable }
 
-// waitReadable waits until there is something to read; io.EOF if it is the other side's end, and the connection's error if it broke.
+// waitReadable waits until there is something to read. It returns io.EOF if that is the peer's close, the
+// connection's error if it broke, and os.ErrDeadlineExceeded at the read deadline.
 func (s socketState) waitReadable() error {
 	var closeErr error
 	err := s.raw.Read(func(fd uintptr) (there bool) {
@@ -35,26 +39,30 @@
 	return err
 }
 
-// readable tells whether there is something to read now, be it the other side's end.
+// readable reports whether there is something to read now: data, the peer's close, or an error.
 func (s socketState) readable() (readable bool) {
 	s.raw.Control(func(fd uintptr) { readable = pollEvents(fd, unix.POLLIN|unix.POLLRDHUP) != 0 })
 	return readable
 }
 
-// peerClosed tells whether the other side has ended the connection, whatever has come on it before that and is not read yet.
+// peerClosed reports whether the peer has closed the connection or its sending side, even if unread bytes
+// come before that.
 func (s socketState) peerClosed() (closed bool) {
 	s.raw.Control(func(fd uintptr) { closed = hungUp(fd) })
 	return closed
 }
 
-// waitPeerClosed waits for the other side's end, behind whatever has come; the error is this side's: its time is up, or it has closed.
+// waitPeerClosed waits until the peer closes, whatever bytes come before that. Its error is one of this side:
+// os.ErrDeadlineExceeded at the read deadline, net.ErrClosed if the connection is closed here.
 func (s socketState) waitPeerClosed() error { return s.raw.Read(hungUp) }
 
-// hungUp asks for the state of the connection, which goes before what is unread. Half an end is one: a client that has closed says no more.
+// hungUp asks for the state of the connection, which the kernel reports ahead of unread bytes. A close of the
+// sending side alone counts: a client that has done that sends no more.
 func hungUp(fd uintptr) bool { return pollEvents(fd, unix.POLLRDHUP) != 0 }
 
-// pollEvents gives those of the wanted events that have come about, and hang-ups and errors, which poll reports unasked. It leaves the
-// connection's pending error in place, which a receive takes with it even if it only peeks: the next one then finds a proper end.
+// pollEvents returns which of the wanted poll events hold, and POLLHUP and POLLERR, which poll reports
+// unasked. Unlike a receive, poll leaves the connection's pending error in place. A receive takes it even
+// with MSG_PEEK, so that the next one finds an orderly end of file where there was a reset.
 func pollEvents(fd uintptr, wanted int16) int16 {
 	for {
 		fds := [...]unix.PollFd{{Fd: int32(fd), Events: wanted}}
@@ -69,8 +77,9 @@
 	}
 }
 
-// peek tells whether there is something to read, and how the connection ended where that is all there is. Its error is taken here, and
-// given back, so it is for those that read nothing more then.
+// peek reports whether there is something to read, and how the connection ended if nothing else is left. It
+// consumes the pending error (see pollEvents) and returns it, so it is only for callers that read no further
+// then.
 func peek(fd uintptr) (readable bool, closeErr error) {
 	var b [1]byte
 	for {
--- a/internal/transport/succession.go
+++ b/internal/transport/succession.go
@@ -208,7 +208,8 @@
 // Host is the connection of an exchange whose answer goes on.
 func (x *Exchange) Host() net.Conn { return x.c.conn }
 
-// Adopt takes in a client's connection that another process had; handle begins within an answer on it.
+// Adopt registers a client's connection that the previous process handed over within a response, and calls
+// handle for it in a new goroutine. It blocks while there is no slot.
 func (l *Listener) Adopt(conn net.Conn, handle func(*Client)) {
 	c := l.admit(conn)
 	l.mu.Lock()
@@ -218,7 +219,9 @@
 	c.serve(handle)
 }
 
-// AdoptPartial takes in one of which another process has read a message in part; handle begins with that message.
+// AdoptPartial registers a client's connection of which the previous process has read part of a request, the
+// bytes received, and calls handle for it in a new goroutine; AwaitRequest returns that request first. It
+// blocks while there is no slot.
 func (l *Listener) AdoptPartial(conn net.Conn, received []byte, handle func(*Client)) {
 	c := l.admit(conn)
 	c.inherited, c.retained = received, received[:0]
