--- /dev/null
+++ b/internal/transport/client_read.go
@@ -0,0 +1,180 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// ErrShuttingDown is returned by reads of a request that is not complete as the process ends.
+var ErrShuttingDown = errors.New("not whole as the process ends")
+
+// readerPool holds the buffers of connections that are reading a request.
+var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientBufferSize) }}
+
+// releaseReader returns the buffer to the pool.
+func (c *Client) releaseReader() {
+	if c.Reader != nil {
+		c.Reader.Reset(nil)
+		readerPool.Put(c.Reader)
+		c.Reader = nil
+	}
+}
+
+// AwaitRequest waits for the first byte of the next request and sets the deadline for the whole of it. While
+// it waits the connection is idle: it may be evicted, and is closed at its idle time-out.
+//
+// It returns ErrShuttingDown if the process ends before a new connection has sent anything, net.ErrClosed if
+// the listener closed the connection in the same moment (the client finds the request unread and may send it
+// again elsewhere), and else the error of the connection.
+func (c *Client) AwaitRequest() error {
+	if c.Reader == nil || c.Reader.Buffered() == 0 {
+		c.releaseReader()
+		if len(c.inherited) == 0 {
+			if err := c.awaitFirstByte(); err != nil {
+				return err
+			}
+		}
+		c.Reader = readerPool.Get().(*bufio.Reader)
+		c.Reader.Reset((*pacedReader)(c))
+	}
+	if !c.setState(stateReading) { // evicted as its first byte came
+		return net.ErrClosed
+	}
+	c.readStart, c.readTimeout, c.received, c.dispatched, c.retainOverflow = time.Now(), requestTimeout, 0, false, c.listener.retainBudget.Load() <= 0
+	if pipelined, _ := c.Reader.Peek(c.Reader.Buffered()); len(pipelined) > 0 {
+		c.retain(pipelined)
+	}
+	switch {
+	case c.OverLimit:
+		c.readTimeout = overLimitTimeout
+	case !c.sentRequest:
+		c.readStart = c.acceptedAt
+	}
+	return c.conn.SetReadDeadline(c.readStart.Add(c.readTimeout))
+}
+
+// awaitFirstByte waits until there is something to read, for as long as a connection in its state may stay
+// silent.
+func (c *Client) awaitFirstByte() error {
+	deadline := c.acceptedAt.Add(newClientTimeout)
+	switch {
+	case c.OverLimit:
+		deadline = time.Now().Add(overLimitTimeout)
+	case c.sentRequest:
+		deadline = c.becomeIdle()
+	}
+	c.setIdleDeadline(deadline)
+	err := c.socket.waitReadable()
+	switch {
+	case err != nil && c.socket.readable(): // arrived as the deadline passed
+		err = nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.sentRequest && !c.OverLimit && c.listener.rejecting.Load() == rejectUndispatched:
+		err = ErrShuttingDown // accepted just before the end: hand it over, don't close it
+	}
+	return err
+}
+
+// pacedReader reads a client's requests under deadlines that move with what has arrived: beside the time for
+// the head a body gets a second for each bodyMinRate bytes, and may not pause for longer than
+// bodySilenceTimeout.
+type pacedReader Client
+
+// Read implements io.Reader. It returns os.ErrDeadlineExceeded if the client is too slow or Wake is called,
+// and ErrShuttingDown if the request is rejected as the process ends.
+func (r *pacedReader) Read(b []byte) (int, error) {
+	if r.received > 0 && !r.discarding.Load() {
+		deadline := r.readStart.Add(r.readTimeout + time.Duration(r.received)*time.Second/bodyMinRate)
+		if r.received > clientBufferSize { // more than a head can be: within a body
+			deadline = earlier(deadline, time.Now().Add(bodySilenceTimeout))
+		}
+		if !(*Client)(r).setReadDeadline(deadline) {
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	if r.rejected() {
+		return 0, ErrShuttingDown
+	}
+	n := copy(b, r.inherited)
+	var err error
+	if r.inherited = r.inherited[n:]; n == 0 {
+		if n, err = r.conn.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && r.rejected() {
+			err = ErrShuttingDown
+		}
+	}
+	r.received += n
+	(*Client)(r).retain(b[:n])
+	return n, err
+}
+
+// rejected reports whether the request is rejected as the process ends.
+func (r *pacedReader) rejected() bool {
+	switch r.listener.rejecting.Load() {
+	case rejectUndispatched:
+		return !r.dispatched
+	case rejectIncomplete:
+		return !r.discarding.Load()
+	}
+	return false
+}
+
+// setReadDeadline sets the deadline of the next read; it returns false, and leaves the deadline alone, if
+// Wake was called.
+func (c *Client) setReadDeadline(deadline time.Time) bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.waiting && c.woken {
+		return false
+	}
+	c.conn.SetReadDeadline(deadline)
+	return true
+}
+
+// ExtendReadTime adds to the time that the client has for its request. It is called with the time for which
+// nothing was read because a host took the body slowly, which is not the client's fault.
+func (c *Client) ExtendReadTime(d time.Duration) { c.readStart = c.readStart.Add(d) }
+
+// BeginBody records that the request is dispatched while its body still arrives.
+func (c *Client) BeginBody() {
+	c.listener.mu.Lock()
+	c.streamingBody = true
+	c.listener.mu.Unlock()
+}
+
+// EndBody records that the body of which BeginBody told has been read to its end, and lifts the read
+// deadline.
+func (c *Client) EndBody() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.streamingBody, c.pipelined = false, c.Reader.Buffered() > 0
+	c.conn.SetReadDeadline(time.Time{})
+}
+
+// retain copies bytes of a request that may have to be handed over to the next process, as long as the budget
+// of the listener allows; once it does not, what was copied of the request is of no use and is dropped.
+func (c *Client) retain(b []byte) {
+	if c.retainOverflow || c.dispatched || len(b) == 0 {
+		return
+	}
+	if c.retainOverflow = c.listener.retainBudget.Add(-int64(len(b))) < 0; !c.retainOverflow {
+		c.retained = append(c.retained, b...)
+		return
+	}
+	c.listener.retainBudget.Add(int64(len(b)))
+	c.dropRetained()
+}
+
+// dropRetained gives the bytes of the copy back to the budget.
+func (c *Client) dropRetained() {
+	c.listener.retainBudget.Add(int64(len(c.retained)))
+	c.retained = nil
+}
+
+// Retained returns the bytes that have been received of a request that ended with ErrShuttingDown. complete
+// is false if some of them were not retained; the request can't be handed over then.
+func (c *Client) Retained() (received []byte, complete bool) {
+	return append(c.retained, c.inherited...), !c.retainOverflow
+}
--- /dev/null
+++ b/internal/transport/evict.go
@@ -0,0 +1,70 @@
+package transport
+
+import "time"
+
+// evictable reports whether the connection may be closed in favour of another at the time given. None is on
+// which bytes have arrived and not been read. A new one that has sent nothing is spared for newClientGrace,
+// since its first bytes may be just behind its accept, and a partial request for partialRequestGrace. The
+// caller holds the listener's lock.
+func (c *Client) evictable(now time.Time) bool {
+	switch c.state {
+	case stateFinished:
+		return true
+	case stateNew:
+		return now.Sub(c.stateSince) >= newClientGrace && !c.socket.readable()
+	case stateReading:
+		return now.Sub(c.stateSince) >= partialRequestGrace
+	case stateIdle:
+		return !c.pipelined && !c.socket.readable()
+	}
+	return false
+}
+
+// evict closes the evictable connection with the lowest state, among these the one that has been in it
+// longest, so that crowds of silent or half-sent connections don't cost others theirs. The slot of the closed
+// connection passes to the caller. It returns false if there is none to close.
+func (l *Listener) evict() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var victim *Client
+	now := time.Now()
+	for c := range l.clients { // in any order: the victim is the same
+		if c.holdsSlot && !c.closed && (victim == nil || c.state < victim.state ||
+			c.state == victim.state && c.stateSince.Before(victim.stateSince)) && c.evictable(now) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.closeNow()
+	victim.holdsSlot = false // it is the caller's now
+	l.Evicted.Add(1)
+	return true
+}
+
+// trimIdle closes the connection that has been idle longest if more than one in idleClientsDivisor of the
+// client slots is idle. Clients that send one request and keep the connection open would else take the slots
+// of those that come next.
+func (l *Listener) trimIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.idleClients <= max(2, l.maxClients/idleClientsDivisor) {
+		return
+	}
+	var oldest *Client
+	for c := range l.clients { // in any order: the oldest is the same
+		if c.state == stateIdle && !c.closed && (oldest == nil || c.stateSince.Before(oldest.stateSince)) && c.evictable(time.Now()) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.closeNow()
+	}
+}
+
+// closeNow closes a connection that has no response outstanding. The caller holds the listener's lock.
+func (c *Client) closeNow() {
+	c.closed = true
+	c.conn.Close()
+}
