A request waits for another gateway's draw only where asks come soon enough

Median to the first attempt 55 ms where the goal is 100 ms. Cause: ask (state.go) waits up to 100 ms for each request, whatever asks took of late, so up to 350 gateways keep the one that draws busy, whose own clients' answers come late, and half of a short goal goes by on the way. docs: ways weighed in "Many balancers". Change: the time of asks is smoothed (askTime, also of those that nobody answers); where it is over a quarter of the request's goal (askPart) its gateway picks at once and asks once a second without waiting. Such an ask stands for five: a silent gateway is left after a second. Tests: Example_asksLate (new) fails without the change. Example_asks and Example_mute have a goal of 1 s now, of which 100 ms are little, and are as they were but for this: asks of the mute gateway, one a second, are waited for no more (5 of 50 waited; now 0), so the request of the last lines goes to the host its gateway picks.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,6 +15,7 @@
 	tick        = 10 * time.Millisecond  // changes wait so long to be told together: far less than a hop's time
 	fewGateways = 20                     // that may each tell, probe and try for themselves at a bearable price
 	askWait     = 100 * time.Millisecond // for a host drawn by another gateway: some messages' time
+	askPart     = 0.25                   // of a goal that asks may take: late, they cost more than they bring
 	muteFrom    = 25                     // asks in a row without an answer: five that draw in turn are silent
 	relayTick   = 25 * time.Millisecond  // between sums told to those that draw for other zones
 	stillFrom   = 200 * time.Millisecond // by which nothing is late but at a gateway that stood still
@@ -142,9 +143,6 @@
 			b.unsaid(h)
 		}
 		h.again = false
-		if b.now-h.restAt > staleAge {
-			h.restAt = 0
-		}
 		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
 			h.used = 0
 			b.out.Release(h.ID)
@@ -164,10 +162,7 @@
 	b.taken, b.came, b.passed = 0, b.came*passKeep, b.passed*passKeep
 	b.settlePaces()
 	b.admit.refill(float64(b.place.Gateways))
-	if b.shed > 0 {
-		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
-	}
-	b.shed = 0
+	b.reportShed()
 }
 
 // reach is how many hosts of a group a draw is among: few where connections cost or nothing tells of hosts.
@@ -176,6 +171,9 @@
 	return either(b.price.Connections || b.blind(), few, len(b.table.ready))
 }
 
+// asksPay tells whether a request may wait for another gateway's draw, by what such asks took of late.
+func (b *Balancer) asksPay(t *tx) bool { return b.askTime.value <= askPart*float64(t.prof.Goal) }
+
 // rare lets by chance do what each of a few gateways may do: many together then do no more than a few would.
 func (b *Balancer) rare() bool { return b.chance.draw()*float64(b.place.Gateways) < fewGateways }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"maps"
 	"math"
@@ -48,13 +49,21 @@
 	still   time.Duration   // until when this gateway last stood still
 	probes  float64         // that may be sent beside answers
 
-	untold   []*host // hosts to tell of soon
-	relaying bool    // sums are due to be told
-	asking   []*tx   // waiting for a host drawn by another gateway
-	mute     int     // asks in a row that had no answer
+	untold   []*host   // hosts to tell of soon
+	relaying bool      // sums are due to be told
+	asking   []*asking // those that have no answer yet
+	askTime  average   // from an ask to its answer, or until it was given up
+	mute     int       // asks in a row that had no answer
 	askedAt  time.Duration
 }
 
+// asking is one ask of another gateway for a host.
+type asking struct {
+	tx    *tx
+	at    time.Duration
+	waits bool // its request goes on with the answer
+}
+
 // New makes the decisions of one gateway; seed is the root of all its chance.
 func New(out Doer, now time.Duration, seed uint64, place Place, profiles []Profile, tenants []Tenant,
 	cold ColdRule, drains DrainRule, hops HopRule, from Sources, price Price) *Balancer {
@@ -213,7 +222,7 @@
 	for _, g := range b.table.groups {
 		if !b.draws(g) {
 			b.out.Tell(b.drawer(g), sums)
-			g.missed(int(staleAge / relayTick))
+			g.missed(1, int(staleAge/relayTick))
 		}
 	}
 }
@@ -231,33 +240,57 @@
 
 func (b *Balancer) draws(g *group) bool { return b.drawer(g) < 0 || b.drawer(g) == b.place.Me }
 
-// ask asks for a host. Where several that draw were silent one after the other it is this gateway, or all, that nobody hears: it draws by
-// itself at once then, and asks once a second. Each transaction had waited for nothing for as long as peers were cut off from each other.
+// ask asks for a host. A request waits for the answer only where such answers come soon enough to be worth it; else its gateway picks at
+// once from what it knows, and asks once a second without waiting, to learn whether that has changed. The same where several that draw were
+// silent one after the other: then it is this gateway, or all, that nobody hears.
 func (b *Balancer) ask(t *tx) {
-	if b.mute >= muteFrom && b.now-b.askedAt < askAgain {
+	waits := b.asksPay(t) && b.mute < muteFrom
+	if !waits && b.now-b.askedAt < askAgain {
 		b.start(t)
 		return
 	}
 	b.askedAt = b.now
-	b.asking = append(b.asking, t)
+	asking := &asking{t, b.now, waits}
+	b.asking = append(b.asking, asking)
 	b.out.Tell(b.drawer(t.home), []Held{{Kind: Asks, Profile: t.profile, Hops: t.home.index}})
-	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() {
-		if i := slices.Index(b.asking, t); i >= 0 {
-			b.asking = slices.Delete(b.asking, i, i+1)
-			t.home.missed(either(b.mute < muteFrom, rowToOpen, 2*rowToOpen))
-			if b.mute++; b.mute == muteFrom { // once heard again all are to ask the same one
-				t.home.skip, t.home.misses = 0, 0
-			}
-			b.start(t)
-		}
-	})
+	b.at(b.now+min(askWait, (t.stop-b.now)/2), func() { b.unanswered(asking) })
+	if !waits {
+		b.start(t)
+	}
+}
+
+// unanswered gives up an ask unless it was answered.
+func (b *Balancer) unanswered(a *asking) {
+	i := slices.Index(b.asking, a)
+	if i < 0 {
+		return
+	}
+	b.asking = slices.Delete(b.asking, i, i+1)
+	b.askTime.add(float64(b.now-a.at), rateStep)
+	home, missed := a.tx.home, 1
+	if !a.waits && b.mute < muteFrom { // it stands for those of its second that were not asked for
+		missed = rowToOpen
+	}
+	home.missed(missed, either(b.mute < muteFrom, rowToOpen, 2*rowToOpen))
+	was := b.mute
+	if b.mute += missed; was < muteFrom && b.mute >= muteFrom { // once heard again all are to ask the same one
+		home.skip, home.misses = 0, 0
+	}
+	if a.waits {
+		b.start(a.tx)
+	}
 }
 
 func (b *Balancer) answered(from int, k Held, h *host) {
 	b.table.own().misses, b.mute = 0, 0
 	b.unsaid(h) // or a host drawn too late, or not taken, would count as out there
-	switch t := b.asked(k.Profile); {
-	case t == nil || t.done:
+	a := b.asked(k.Profile)
+	if a == nil {
+		return
+	}
+	b.askTime.add(float64(b.now-a.at), rateStep)
+	switch t := a.tx; {
+	case !a.waits || t.done:
 	case k.Host == 0:
 		b.shed++
 		b.finish(t)
@@ -310,15 +343,15 @@
 	}
 }
 
-// asked takes out the first transaction of a profile that waits for a host drawn by another gateway.
-func (b *Balancer) asked(profile int) *tx {
-	i := slices.IndexFunc(b.asking, func(t *tx) bool { return t.profile == profile })
+// asked takes out the first ask for a profile that waits for its answer, nil where none does.
+func (b *Balancer) asked(profile int) *asking {
+	i := slices.IndexFunc(b.asking, func(a *asking) bool { return a.tx.profile == profile })
 	if i < 0 {
 		return nil
 	}
-	t := b.asking[i]
+	a := b.asking[i]
 	b.asking = slices.Delete(b.asking, i, i+1)
-	return t
+	return a
 }
 
 // alone tells whether this is one of many gateways that learn of each other only by what hosts report.
@@ -819,9 +852,9 @@
 	misses    int           // answers in a row that did not come
 }
 
-// missed goes on to the next drawer after so many answers in a row that did not come.
-func (g *group) missed(most int) {
-	if g.misses++; g.misses >= most {
+// missed counts answers that did not come, and goes on to the next drawer after most in a row.
+func (g *group) missed(answers, most int) {
+	if g.misses += answers; g.misses >= most {
 		g.skip, g.misses = g.skip+1, 0
 	}
 }
@@ -1005,6 +1038,17 @@
 			delete(h.heldBy, from)
 		}
 	}
+	if h.restAt < since {
+		h.restAt = 0
+	}
+}
+
+// reportShed logs how many requests were rejected on arrival in the last second.
+func (b *Balancer) reportShed() {
+	if b.shed > 0 {
+		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
+	}
+	b.shed = 0
 }
 
 func (b *Balancer) isCold(h *host) bool {
