A profile that fails alone at some hosts is barred there, and these serve the others

Cause (probe over time, TestProfileFailsAtHalf): the usual share of errors that a breaker is held against is a mean over all hosts and profiles, so the other hosts where a profile fails raised the limit to 0.79 and it opened only at five in a row; time-outs of it never counted in a share, slowed the host's pace, weight and felt time for all profiles, and were a jam of the zone to blind gateways; the breaker for all profiles opened by one profile's errors; and trials of a profile that may not run twice took a third of it at a gateway with one a second.

Change: breakers keep a share of failures, time-outs far over the usual included. Held against other profiles at the host and the lower quartile of its own at other hosts (failsBeside), it tells that a profile fails there alone: its breaker opens, nothing else is learnt. A trial takes one in ten of what may not run twice. A blind gateway's zone is not jammed by an unanswered hop where another profile was just answered there and its own hardly fails elsewhere.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,6 +27,7 @@
 	shareStep   = 0.15                   // smoothing of that share: about the last seven outcomes
 	coolFirst   = 2 * time.Second        // first cooldown: one trial costs little, a barred host much
 	coolMost    = 5 * time.Second        // longest cooldown, the decision record's figure
+	tryPart     = 0.1                    // of a profile's transactions that a trial may cost
 	cutFactor   = 0.7                    // weight after a bad second, the decision record's figure
 	slowFactor  = 1.5                    // latency over the median that cuts it, ditto; well over the mean
 	weightStep  = 0.1                    // of the mean weight: gained in a good second, and the least, ditto
@@ -138,13 +139,7 @@
 	b.table.rates(b.isCold)
 	for _, h := range b.table.ready {
 		h.expire(b.now - staleAge)
-		if h.own > 0 || h.again { // said once more, as messages may be lost
-			b.unsaid(h)
-		}
-		h.again = false
-		if b.now-h.restAt > staleAge {
-			h.restAt = 0
-		}
+		b.sayAgain(h)
 		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
 			h.used = 0
 			b.out.Release(h.ID)
@@ -164,10 +159,7 @@
 	b.taken, b.came, b.passed = 0, b.came*passKeep, b.passed*passKeep
 	b.settlePaces()
 	b.admit.refill(float64(b.place.Gateways))
-	if b.shed > 0 {
-		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
-	}
-	b.shed = 0
+	b.logShed()
 }
 
 // reach is how many hosts of a group a draw is among: few where connections cost or nothing tells of hosts.
@@ -234,18 +226,21 @@
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
 // that errs on half of its hops may never err five times in a row, so the share of errors counts too.
-func (k *breaker) note(bad bool, errs, usual, others float64, now time.Duration, chance float64) bool {
+func (k *breaker) note(bad bool, errs, limit, others float64, now time.Duration, chance float64) bool {
 	was := k.open
 	switch {
 	case !bad && was && !k.trying:
 	case !bad:
-		k.row, k.open, k.trying, k.cool = 0, false, false, 0
+		k.row, k.open, k.trying, k.cool, k.since = 0, false, false, 0, now
+		k.fails *= 1 - shareStep
 		k.share *= 1 - shareStep
 	default:
-		k.row++
+		k.since = either(k.row == 0, now, k.since)
+		k.row = min(k.row+1, math.MaxInt16-1)
+		k.fails += shareStep * (1 - k.fails)
 		k.share += errs * shareStep * (1 - k.share)
 		if was && k.trying || !was && (k.row >= rowToOpen && math.Pow(others, float64(k.row)) < rowChance ||
-			k.share >= shareToOpen+usual) {
+			k.share >= limit) {
 			k.open, k.trying = true, false
 			k.cool = min(max(2*k.cool, coolFirst), coolMost)
 			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
@@ -263,13 +258,17 @@
 // learn takes what the end of a hop says of its host.
 func (b *Balancer) learn(h *host, load float64, profile int, r Result) {
 	b.heard(h, r.Load)
-	if b.byZone() {
-		b.feel(h, profile, r)
-	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
-	bad, errs := false, 0.0
-	switch r.End {
-	case Committed:
+	late, bad := r.End == TimedOut || r.End == CalledOff, r.End != Committed && r.End != Moot
+	// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
+	bad = either(late, took > overdue*work.value*crowd, bad)
+	errs, apart := either(bad && !late, 1.0, 0), bad && b.failsApart(h, profile)
+	if b.byZone() && !apart {
+		hangs := late && bad && usualTimes*b.table.failsBeside(h, profile, b.now-jamForget) < shareToOpen
+		b.feel(h, profile, r, hangs)
+	}
+	switch {
+	case r.End == Committed:
 		b.heardOf[profile] = b.now
 		h.paced, h.waiting, h.fresh = b.now, b.now, true
 		h.lat.add(took, paceStep)
@@ -282,15 +281,13 @@
 			h.group.jam.add(took/crowd/b.free[profile], jamStep)
 			h.learnPace(took / crowd / work.value)
 		}
-	case TimedOut, CalledOff:
-		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
-		bad = took > overdue*work.value*crowd
+	case late && !apart:
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
 		// One answer lost, where that is far over the work, must not make its host look ten times as slow.
 		h.learnPace(min(max(took/crowd/work.value, h.pace.value), overdue*h.pace.value))
-	case Error, Broken, NoConnection, Full:
-		h.waiting, h.bad, bad, errs = b.now, true, true, 1
+	case bad && !apart:
+		h.waiting, h.bad = b.now, true
 	}
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
@@ -303,16 +300,24 @@
 		others = b.table.errsElsewhere(h, b.now-staleAge)
 		usual = b.errs.value + min(usualTimes*others, usualMost)
 	}
+	limit := either(apart, 0, shareToOpen+usual)
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range h.breakers(profile) {
-		if i == 0 && r.End == Full {
+		if i == 0 && (r.End == Full || apart) {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, usual, either(r.End == Error, others, 0), b.now, b.chance.draw()) {
+		} else if c.note(bad, errs, limit, either(r.End == Error, others, 0), b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
 }
 
+// failsApart tells whether one more failure shows that a profile alone fails at a host: others are answered
+// there meanwhile, and it at other hosts. It says nothing of the host then, and that profile is barred.
+func (b *Balancer) failsApart(h *host, profile int) bool {
+	k, usual := &h.by[profile], b.table.failsBeside(h, profile, h.by[profile].since)
+	return float64(k.fails+shareStep*(1-k.fails)) >= shareToOpen+b.errs.value+usualTimes*usual
+}
+
 // slowness is the pace, bounded: a burst that is over before its last hop ends makes a host look fast.
 func (h *host) slowness() float64 { return max(h.pace.value, likeLeast*h.model.pace.value) }
 
@@ -553,12 +558,13 @@
 }
 
 // trusts tells whether no breaker bars a host, or lets it be tried. A trial must not cost a transaction that
-// cannot run twice, unless its own profile is on trial.
+// cannot run twice, unless its own profile is on trial, and then few of these.
 func (b *Balancer) trusts(h *host, t *tx) bool {
 	if h.closed(t.profile) {
 		return true
 	}
-	if h.dueBy(t.profile) > b.now || t.prof.Effect == NonIdempotent && h.whole.open || !b.rare() {
+	if h.dueBy(t.profile) > b.now || t.prof.Effect == NonIdempotent && h.whole.open || !b.rare() ||
+		t.prof.Effect == NonIdempotent && b.chance.draw() > tryPart {
 		return false
 	}
 	h.try(t.profile, b.now+coolMost)
@@ -743,12 +749,7 @@
 	}})
 	b.out.Hop(t.id, h.ID, wait)
 	if b.blind() && b.hops.CallOff {
-		i := len(t.hops) - 1
-		b.at(b.now+b.lets(t, h.group), func() {
-			if !t.done && !t.hops[i].over {
-				b.out.CallOff(t.id, i)
-			}
-		})
+		b.callOffIn(b.lets(t, h.group), t, len(t.hops)-1)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"maps"
 	"math"
@@ -190,6 +191,31 @@
 	}
 }
 
+// sayAgain has what is out at a host told once more, as messages may be lost.
+func (b *Balancer) sayAgain(h *host) {
+	if h.own > 0 || h.again {
+		b.unsaid(h)
+	}
+	h.again = false
+}
+
+// logShed logs how many transactions were rolled back on arrival within the last second.
+func (b *Balancer) logShed() {
+	if b.shed > 0 {
+		b.out.Log(fmt.Sprintf("last second: %d rolled back on arrival", b.shed))
+	}
+	b.shed = 0
+}
+
+// callOffIn calls a hop off after that time, unless it or its transaction has ended by then.
+func (b *Balancer) callOffIn(in time.Duration, t *tx, i int) {
+	b.at(b.now+in, func() {
+		if !t.done && !t.hops[i].over {
+			b.out.CallOff(t.id, i)
+		}
+	})
+}
+
 // tell tells all that is new.
 func (b *Balancer) tell() {
 	for _, g := range b.table.groups {
@@ -345,7 +371,7 @@
 
 // feel takes in what a hop took, of what it takes at a free host. What a profile feels those that earn less feel alike; of those that
 // earn more it says less, as hosts may see to them first.
-func (b *Balancer) feel(h *host, profile int, r Result) {
+func (b *Balancer) feel(h *host, profile int, r Result, hangs bool) {
 	times := float64(r.Took) / b.usually(profile)
 	switch r.End {
 	case Committed:
@@ -360,7 +386,7 @@
 	}
 	h.felt = b.feltAt(h)
 	h.felt, h.feltSince = h.felt+feltStep*(times-h.felt), b.now
-	if r.End == NoConnection { // it says nothing of hops that have one
+	if hangs || r.End == NoConnection { // the one is that host's alone, the other says nothing of hops that have a connection
 		return
 	}
 	g, most := h.group, b.jamOfOne()
@@ -668,6 +694,28 @@
 	return either(mean.n > 0, mean, all).value
 }
 
+// failsBeside is the share of failures that a profile's at a host is compared with: the largest of other profiles there that were
+// answered last, or the lower quartile of its own at other hosts if that is more. Only what was answered since then counts, and where its own
+// failed last; it is 1 where there is nothing to compare with.
+func (t *table) failsBeside(h *host, profile int, since time.Duration) float64 {
+	var here, elsewhere []float64
+	for i := range h.by {
+		if k := &h.by[i]; i != profile && k.row == 0 && k.since > since {
+			here = append(here, float64(k.fails))
+		}
+	}
+	for _, other := range t.ready {
+		if k := &other.by[profile]; other != h && (k.row > 0 || k.since > since) {
+			elsewhere = append(elsewhere, float64(k.fails))
+		}
+	}
+	if len(here) == 0 || len(elsewhere) == 0 {
+		return 1
+	}
+	slices.Sort(elsewhere)
+	return max(slices.Max(here), elsewhere[len(elsewhere)/4])
+}
+
 // group is the one of that index among the zones, the own one where there is none.
 func (t *table) group(index int) *group {
 	for _, g := range t.groups {
@@ -847,10 +895,10 @@
 	said    int            // own hops out as last told
 	again   bool           // to be told of once more
 	unsaid  bool           // to be told of soon
+	proving bool           // nothing has come yet on its connection, new or unused for long
 	rank    float64        // its place in the order in which this gateway takes hosts
 	used    time.Duration  // when a hop last went there, 0 once its connections are given back
 	unmade  time.Duration  // until when no new connection is tried, as one could not be made
-	proving bool           // nothing has come yet on its connection, new or unused for long
 	ends    []Held         // how own hops ended, not yet told
 	health
 	sent []time.Duration // hops within the last TipAfter while cold
@@ -1005,6 +1053,9 @@
 			delete(h.heldBy, from)
 		}
 	}
+	if h.restAt < since {
+		h.restAt = 0
+	}
 }
 
 func (b *Balancer) isCold(h *host) bool {
@@ -1046,11 +1097,14 @@
 	return held
 }
 
+// breaker is for a host, or for one profile there. There is one for each of both, so its fields are as small as may be.
 type breaker struct {
-	row    int           // failures in a row
-	share  float64       // smoothed share of errors
+	row    int16         // failures in a row
 	open   bool          // no hops but trials
 	trying bool          // a trial is out
+	fails  float32       // smoothed share of failures, time-outs among them
+	share  float64       // the same of errors
+	since  time.Duration // when the first of the row failed, or, where there is none, of the last good answer
 	until  time.Duration // when the next trial is due
 	cool   time.Duration // the cooldown before it
 }
