Where gateways do not tell, a tenant that waits everywhere is known by two misses

Cause (trace of TestTenantWaitsEverywhere): a tenant is an outlier from 0.7 of its hops past their goals, eight misses on end; a gateway with one of its hops in two seconds needs 16 s for that. Meanwhile its answers raised the times of profiles (75 to 263 ms in three seconds), jams and paces, and all were rolled back, so that little came to lower them again. Where gateways tell, one answer is bounded and none of it shows. A blind gateway calls such hops off itself and counted none of them as a miss.

Change: where gateways do not tell, hops of a tenant over 0.25 of misses and four times the others' share teach nothing when late or called off, and are no jam while out; five hops of others must have ended first. A hop that a blind gateway calls off past its goal is a miss. An outlier too is now known only beside five hops of others. The sum over tenants went to state.go.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,8 +235,7 @@
 		k.fails *= 1 - shareStep
 		k.share *= 1 - shareStep
 	default:
-		k.since = either(k.row == 0, now, k.since)
-		k.row = min(k.row+1, math.MaxInt16-1)
+		k.row, k.since = min(k.row+1, math.MaxInt16-1), either(k.row == 0, now, k.since)
 		k.fails += shareStep * (1 - k.fails)
 		k.share += errs * shareStep * (1 - k.share)
 		if was && k.trying || !was && (k.row >= rowToOpen && math.Pow(others, float64(k.row)) < rowChance ||
@@ -269,8 +268,7 @@
 	}
 	switch {
 	case r.End == Committed:
-		b.heardOf[profile] = b.now
-		h.paced, h.waiting, h.fresh = b.now, b.now, true
+		b.heardOf[profile], h.paced, h.waiting, h.fresh = b.now, b.now, b.now, true
 		h.lat.add(took, paceStep)
 		if crowd == 1 || h.model.knee() > 0 || !b.guesses(h) {
 			bound := min(overdue*work.value, float64(b.profiles[profile].Goal)) // a part that waits must not bar all
@@ -623,13 +621,15 @@
 
 // outlier tells whether a tenant's hops miss their goals where the others' do not: they wait for something of
 // its own, and no host is judged by them. If they are much work instead, the others miss theirs soon.
-func (a *admission) outlier(i int) bool {
-	var others average
-	for k := range a.tenants {
-		others.add(either(k == i, 0, a.tenants[k].missed.value), 0)
-	}
-	m := a.tenants[i].missed
-	return m.n >= rowToOpen && others.n > 1 && m.value > max(missedFrom, missedTimes*others.value)
+func (a *admission) outlier(t *tenant) bool {
+	others, heard := a.missedByOthers(t)
+	return min(heard, t.missed.n) >= rowToOpen && t.missed.value > max(missedFrom, missedTimes*others)
+}
+
+// suspect tells it sooner, by two misses close together. Where gateways tell no one answer counts for much.
+func (b *Balancer) suspect(t *tenant) bool {
+	others, heard := b.admit.missedByOthers(t)
+	return !b.from.Tells && heard >= rowToOpen && t.missed.value > max(shareToOpen, usualTimes*others)
 }
 
 func (b *Balancer) Take(now time.Duration, id TxID, a Arrival) {
@@ -650,7 +650,8 @@
 		b.freshen()
 	}
 	if a.Tenant >= 0 {
-		t.tenant, t.over, t.outlier = &b.admit.tenants[a.Tenant], b.admit.over(a.Tenant), b.admit.outlier(a.Tenant)
+		t.tenant, t.over = &b.admit.tenants[a.Tenant], b.admit.over(a.Tenant)
+		t.outlier = b.admit.outlier(t.tenant)
 	}
 	t.weighs = either(a.Coming || t.outlier, 0, 1)
 	if b.hops.Room > 0 {
@@ -740,8 +741,7 @@
 	b.unsaid(h)
 	wait, idle := b.doubt(t, h)
 	h.proving = either(h.own == 1, h.used == 0 || idle > 0, h.proving)
-	h.used = b.now
-	t.out++
+	h.used, t.out = b.now, t.out+1
 	t.hops = append(t.hops, hop{host: h, at: b.now, idle: idle, load: h.out(), then: func() {
 		if t.out == 0 && !b.again(t) {
 			b.finish(t)
@@ -853,11 +853,12 @@
 	}
 	b.close(k.host.Host)
 	b.unsaid(k.host)
-	late := r.End == TimedOut || r.End == Committed && now-k.at > t.prof.Goal
+	off := r.End == CalledOff // by a blind gateway itself, where it is late
+	late := r.End == TimedOut || (r.End == Committed || off && b.blind()) && now-k.at > t.prof.Goal
 	if t.tenant != nil && (late || r.End == Committed) {
 		t.tenant.missed.add(either(late, 1.0, 0), shareStep)
 	}
-	apart := t.outlier && (late || r.End == Committed)
+	apart := t.outlier && (late || r.End == Committed) || (late || off) && b.suspect(t.tenant)
 	if !apart && !b.draws(k.host.group) && k.at >= b.still {
 		k.host.ends = append(k.host.ends, Held{Ended, k.host.ID, int(k.load), t.profile, r.End, r.Took})
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -429,7 +429,7 @@
 		for i := range t.hops {
 			k := &t.hops[i]
 			age := float64(b.now-k.at) / b.usually(t.profile) / jamAge
-			if !k.over && k.host.group == g && age > v && b.earns(t.profile) >= b.earns(profile) {
+			if !k.over && k.host.group == g && age > v && b.earns(t.profile) >= b.earns(profile) && !b.suspect(t.tenant) {
 				more += jamOut * (age - v)
 			}
 		}
@@ -1173,6 +1173,18 @@
 	tenants []tenant
 }
 
+// missedByOthers is the share of hops past their goal of the tenants but this one, and how many hops that rests on; 0 for no tenant.
+func (a *admission) missedByOthers(t *tenant) (share, hops float64) {
+	var others average
+	for i := range a.tenants {
+		if k := &a.tenants[i]; t != nil {
+			others.add(either(k == t, 0, k.missed.value), 0)
+			hops += either(k == t, 0, k.missed.n)
+		}
+	}
+	return others.value, hops
+}
+
 // tenant counts in transactions a second of this gateway.
 type tenant struct {
 	name                 string
