Tests' addresses have loopback IPs of their own, as their ports were taken

Seen: Example_restartedAtOnce printed 'ended, all: false' in 3 of 11 runs; in one whose output was kept a gateway said 'listen tcp 127.0.0.1:37271: bind: address already in use'. Cause: free() closes the port that it found, and until the gateway listens it may become the local port of an outgoing connection of 127.0.0.1. Change: each address has an IP of its own; no assertion is changed.

--- a/cmd/spanmux/daily_test.go
+++ b/cmd/spanmux/daily_test.go
@@ -80,9 +80,14 @@
 	return p, door
 }
 
-// free is an address that nobody listens at.
+var freeCalls atomic.Uint32
+
+// free is an address that nobody listens at. Each has a loopback IP of its own: between the closing here and the listening there a port of
+// 127.0.0.1 may become that of an outgoing connection, as thirty processes that call discovery make thousands ("address already in use").
 func free() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	process, call := os.Getpid(), freeCalls.Add(1)
+	ip := net.IPv4(127, byte(1+process>>8%250), byte(process), byte(1+call%250))
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		panic(err)
 	}
