A client that closes ends the answer that is under way, and its silent host's connection

Cause: next (takein.go) waited for the stream's end where its client left; pass waits 10 s for each piece of a host that has fallen silent, so such answers held places at hosts for many times a deadline. Ruled out: a client that resets under a piece is seen as the next one is written; only silence kept the wait. Change: stopStream gives the hop up where the client's end is seen. Test: ExampleDesk_stream_clientLeaves, 10.0 s and false without the change. internal/routing passes, ExampleDesk_stream* 5 of 5.

--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -179,3 +179,18 @@
 	d.written(t, a.Status, err, closing || d.sendsAway(), heard)
 	return err
 }
+
+// stopStream gives up an answer that is passed on as it comes once its client has closed the connection. A host that has fallen silent within
+// the answer would keep its connection, and its place at the host, for hostSilent.
+func (d *Desk) stopStream(t *tx) {
+	if !t.client.PeerClosed() { // this process has closed it, as the answer was written
+		return
+	}
+	d.decide(func(time.Duration) {
+		for _, h := range t.hops {
+			if h.streamed {
+				d.then(h.exchange.GiveUp)
+			}
+		}
+	})
+}
--- a/internal/routing/stream_test.go
+++ b/internal/routing/stream_test.go
@@ -395,3 +395,29 @@
 	// closed: client has all that came: true, whole: true, cut off: 0
 	// reset: client has all that came: true, whole: false, cut off: 1
 }
+
+// A client closes while its answer is under way and its host has fallen silent: the host's connection is given up at once. It was kept for the
+// ten seconds for which a host may be silent, each time that a client gave up on such an answer.
+func ExampleDesk_stream_clientLeaves() {
+	silent, ended := make(chan bool), make(chan time.Time)
+	s := playScripted(func(nc net.Conn, head *http.Request) {
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n\r\n%s", bytesOf(80_000))
+		close(silent)
+		nc.Read(make([]byte, 1))
+		ended <- time.Now()
+	})
+	c := s.dial()
+	io.WriteString(c, text("read", "long", ""))
+	<-silent
+	answer, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		panic(err)
+	}
+	io.ReadFull(answer.Body, make([]byte, 80_000))
+	left := time.Now()
+	c.Close()
+	fmt.Println("host's connection given up within a second:", (<-ended).Sub(left) < time.Second)
+	s.until("nothing is open", func() bool { return s.Book.Open.Load() == 0 && s.listener.OpenClients() == 0 })
+	// Output:
+	// host's connection given up within a second: true
+}
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -65,6 +65,7 @@
 	// answer is written by whoever has it.
 	if c.WatchForClose(t.over) != nil {
 		if !d.left(t) {
+			d.stopStream(t)
 			<-t.settled
 		}
 		return false
