The datagrams' receive buffer is sized by the number of gateways

Cause: gateways told each other over a socket with the system's usual receive buffer, which holds 166 datagrams of 256 bytes here, or 256 of ten. A thousand gateways that tell or ask at the same time, while the process waits for a core, takes in a list or answers others, lost all but these, and each lost ask costs its transaction 100 ms before the gateway draws by itself.

Change: ListenDatagrams is told how many senders there are and asks for two datagrams of each, 400 at the least, 640 bytes of buffer each (measured). Not more: what waits for longer than 100 ms is of no use to who asked. What the system does not allow (net.core.rmem_max) is logged.

--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -66,7 +66,7 @@
 			return err
 		}
 	}
-	if t.socket, err = transport.ListenDatagrams(listen); errors.Is(err, syscall.EADDRINUSE) {
+	if t.socket, err = transport.ListenDatagrams(listen, len(t.others)); errors.Is(err, syscall.EADDRINUSE) {
 		slog.Warn("tells other gateways once the address is free", "at", listen)
 		go d.joinLater(listen, t)
 		return nil
@@ -78,7 +78,7 @@
 }
 
 func (d *Desk) joinLater(listen string, t tells) {
-	for err := error(syscall.EADDRINUSE); err != nil; t.socket, err = transport.ListenDatagrams(listen) {
+	for err := error(syscall.EADDRINUSE); err != nil; t.socket, err = transport.ListenDatagrams(listen, len(t.others)) {
 		time.Sleep(joinAgain)
 		if d.closing.Load() {
 			return
--- a/internal/transport/datagrams.go
+++ b/internal/transport/datagrams.go
@@ -2,14 +2,29 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
+)
+
+const (
+	// pendingPerSender is how many datagrams of each other gateway may wait to be read, while this process waits for a core or takes in a
+	// list: an ask for a host and what is told meanwhile. More would only be read once their senders had given up on an answer.
+	pendingPerSender = 2
+	// pendingDatagrams is the least for all senders together: a gateway that tells of a thousand hosts needs some forty at once.
+	pendingDatagrams = 400
+	// datagramCost is how much of a socket's receive buffer a datagram of the longest size uses up, its bookkeeping included, as measured
+	// on Linux: 640 of the bytes that SO_RCVBUF is set to, which the kernel doubles.
+	datagramCost = 640
 )
 
 // Datagrams is the socket on which gateways tell each other.
 type Datagrams struct{ conn *net.UDPConn }
 
-func ListenDatagrams(addr string) (*Datagrams, error) {
+// ListenDatagrams opens the socket at an address. Its receive buffer is sized for so many senders that send at the same time, as far
+// as the system allows (net.core.rmem_max); where that is less, the log says so.
+func ListenDatagrams(addr string, senders int) (*Datagrams, error) {
 	at, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, err
@@ -18,9 +33,33 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Datagrams{conn}, nil
+	d := &Datagrams{conn}
+	wanted := max(pendingDatagrams, pendingPerSender*senders) * datagramCost
+	if err := conn.SetReadBuffer(wanted); err != nil {
+		slog.Warn("receive buffer of datagrams left as it was", "error", err)
+	}
+	if got := d.readBuffer(); got < wanted {
+		slog.Warn("receive buffer of datagrams smaller than wanted", "bytes", got, "wanted", wanted)
+	}
+	return d, nil
+}
+
+// readBuffer is the size of the receive buffer, in the bytes that it is set by; 0 where the system does not tell.
+func (d *Datagrams) readBuffer() int {
+	raw, err := d.conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	doubled := 0
+	raw.Control(func(fd uintptr) {
+		if n, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF); err == nil {
+			doubled = n
+		}
+	})
+	return doubled / 2
 }
 
+// Send sends one datagram.
 func (d *Datagrams) Send(to netip.AddrPort, msg []byte) error {
 	_, err := d.conn.WriteToUDPAddrPort(msg, to)
 	return err
@@ -40,4 +79,5 @@
 	}
 }
 
+// Close closes the socket and ends Serve.
 func (d *Datagrams) Close() { d.conn.Close() }
