Tests with 1,024 gateways and 1,024 hosts through the whole program

The list whole and as changes, peers, datagrams to and from each, asks for a host, what is learnt handed to the next process, settings and a file taken again, and the simulator's wire; over sockets on loopback, with bounds on heap, goroutines, threads and memory. One starts the program twice on a shared listener within 64 MB.

--- /dev/null
+++ b/cmd/spanmux/size_test.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// largeFleet is how many gateways, and how many hosts, the program may not fall short of.
+	largeFleet = 1024
+	// largeReady is the time for a process to take clients with so many of both.
+	largeReady = 3 * time.Second
+	// largeMemory is the most memory that such a process may have had in use, in kB, of the 64 MB that it is given: half of that, as
+	// another process may follow it, beside the program's own text.
+	largeMemory = 48 << 10
+	// largeThreads is the most threads that it may have, however many gateways and hosts there are.
+	largeThreads = 40
+)
+
+// largeHosts is so many hosts, each at an address of its own, with the discovery that lists them.
+type largeHosts struct {
+	mu        sync.Mutex
+	reached   map[string]bool // by address
+	served    atomic.Int64
+	list      []byte
+	discovery string
+}
+
+func openLargeHosts(t *testing.T) *largeHosts {
+	t.Helper()
+	h := &largeHosts{reached: map[string]bool{}}
+	ln, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts := &http.Server{Handler: http.HandlerFunc(h.serve)}
+	go hosts.Serve(ln)
+	t.Cleanup(func() { hosts.Close() })
+
+	var targets []map[string]any
+	for i := range largeFleet {
+		targets = append(targets, map[string]any{"uid": fmt.Sprintf("host-%08x", i), "az": "a", "model": "m2", "pod_group": i, "state": "in_service",
+			"capacity_hint": 1, "endpoint": fmt.Sprintf("127.1.%d.%d:%d", i>>8, i&255, ln.Addr().(*net.TCPAddr).Port)})
+	}
+	if h.list, err = json.Marshal(map[string]any{"rev": 1, "all": true, "targets": targets}); err != nil {
+		t.Fatal(err)
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("index") {
+			<-r.Context().Done()
+			return
+		}
+		w.Write(h.list)
+	}))
+	t.Cleanup(discovery.CloseClientConnections)
+	h.discovery = discovery.Listener.Addr().String()
+	return h
+}
+
+func (h *largeHosts) serve(w http.ResponseWriter, r *http.Request) {
+	at, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	h.mu.Lock()
+	h.reached[at.String()] = true
+	h.mu.Unlock()
+	if strings.HasPrefix(r.URL.Path, "/status") {
+		io.WriteString(w, "TEXT inflight=1, queue=0")
+		return
+	}
+	h.served.Add(1)
+	io.WriteString(w, "answer")
+}
+
+func (h *largeHosts) reachedHosts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.reached)
+}
+
+// largePeers are the other gateways, with the address that is left for the one which is tested.
+func largePeers(t *testing.T) (peers []*net.UDPConn, addrs []string) {
+	t.Helper()
+	for i := range largeFleet {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, c.LocalAddr().String())
+		if i == 0 {
+			c.Close()
+			continue
+		}
+		t.Cleanup(func() { c.Close() })
+		peers = append(peers, c)
+	}
+	return peers, addrs
+}
+
+// asksOf has each of other gateways ask one for a host, all at once, and counts those that are answered with one within a time.
+func asksOf(peers []*net.UDPConn, to string, within time.Duration) (answered int) {
+	const kindAsks, kindAnswer, entry = 3, 4, 10
+	profile := uint16(crc32.ChecksumIEEE([]byte("read")))
+	ask := binary.LittleEndian.AppendUint16([]byte{0, 0, 0, 0, 0, kindAsks << 4}, profile)
+	ask = append(ask, 0, 0)
+	at := netip.MustParseAddrPort(to)
+	for _, c := range peers {
+		c.WriteToUDPAddrPort(ask, at)
+	}
+	until := time.Now().Add(within)
+	for _, c := range peers {
+		c.SetReadDeadline(until)
+		msg := make([]byte, 256)
+		for {
+			n, err := c.Read(msg)
+			if err != nil {
+				break
+			}
+			if n == entry && msg[5]>>4 == kindAnswer {
+				if binary.LittleEndian.Uint32(msg) != 0 {
+					answered++
+				}
+				break
+			}
+		}
+	}
+	return answered
+}
+
+// status is a figure of a process as the system has it.
+func status(t *testing.T, p *exec.Cmd, name string) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(text), name+":")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		t.Fatal("no " + name)
+	}
+	n, err := strconv.Atoi(fields[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// A process that is one of a thousand gateways before a thousand hosts, with all of them in its file and in discovery's list, takes clients
+// soon, serves them, answers all other gateways that ask it for a host at the same time, takes its file again, and hands over to the next
+// process, all within a small gateway's memory.
+func TestLargeFleetProcess(t *testing.T) {
+	hosts := openLargeHosts(t)
+	peers, addrs := largePeers(t)
+	addr, socket, dir := shared()
+	defer os.RemoveAll(dir)
+	settings := fmt.Sprintf(`{"balancers":%d,"me":0,"dcs":["a"],"myZone":"a","discovery":"subscribe","report":{"via":"probe","fields":["rif","q"]},`+
+		`"obligations":{"askWithin":2000000,"drainGrace":400000},"limits":{"mostHops":2,"mayTell":true,"probes":true,"connectTimeout":300000,`+
+		`"connIdle":4000000},"profiles":[{"name":"read","effect":"idempotent","serviceGoal":1000000,"hardLimit":2000000,"revenue":1}]}`, largeFleet)
+	start := func(n int, known json.RawMessage) (p *exec.Cmd, door string) {
+		door = free()
+		began := time.Now()
+		p = process(dir, n, 400, largeFleet, map[string]any{"name": "large", "control": door, "discovery": hosts.discovery, "peer_listen": addrs[0],
+			"peers": addrs, "known": known, "settings": json.RawMessage(settings)}, socket)
+		t.Cleanup(func() { p.Process.Kill() })
+		if !soon(func() bool { return within(door, "ready", "yes") }) {
+			t.Fatal("never ready")
+		}
+		took := time.Since(began)
+		if t.Logf("ready after %v", took); took > largeReady {
+			t.Errorf("ready after %v", took)
+		}
+		return p, door
+	}
+	serve := func(p *exec.Cmd, door string) {
+		soon(func() bool { return asksOf(peers[:1], addrs[0], 100*time.Millisecond) == 1 }) // the datagrams' address is its own by now
+		answered := asksOf(peers, addrs[0], 2*time.Second)
+		served := 0
+		for i := range 100 {
+			served += int(asks(addr, fmt.Sprint(p.Process.Pid, "-", i)))
+		}
+		var shown struct{ Discovered, Ejected int }
+		if err := json.Unmarshal([]byte(call("GET", door, "metrics")), &shown); err != nil {
+			t.Error(err)
+		}
+		if answered != len(peers) || served != 100 || shown.Discovered != largeFleet || shown.Ejected != 0 {
+			t.Errorf("%d of %d gateways were answered, %d of 100 clients; %+v", answered, len(peers), served, shown)
+		}
+		p.Process.Signal(syscall.SIGHUP)
+		if !soon(func() bool { return strings.Contains(call("GET", door, "metrics"), `"sighup_applied":1`) }) {
+			t.Error("its file is not taken again")
+		}
+	}
+	small := func(p *exec.Cmd) {
+		memory, threads := status(t, p, "VmHWM"), status(t, p, "Threads")
+		if t.Logf("%d kB, %d threads", memory, threads); memory > largeMemory || threads > largeThreads {
+			t.Errorf("%d kB of memory, %d threads", memory, threads)
+		}
+	}
+
+	first, door := start(1, nil)
+	serve(first, door)
+	if !soon(func() bool { return hosts.reachedHosts() == largeFleet }) { // by probes
+		t.Errorf("only %d hosts reached", hosts.reachedHosts())
+	}
+	small(first)
+	second, door := start(2, hosts.list)
+	first.Process.Signal(syscall.SIGTERM)
+	if err := first.Wait(); err != nil {
+		t.Error(err)
+	}
+	serve(second, door)
+	small(second)
+	second.Process.Signal(syscall.SIGTERM)
+	if err := second.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/routing/size_test.go
@@ -0,0 +1,338 @@
+package routing
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"spanmux/internal/protocol"
+	"spanmux/logic"
+)
+
+const (
+	// largeFleet is how many gateways, and how many hosts, no part of the program may fall short of.
+	largeFleet = 1024
+	// largeHeap is what a gateway among so many may hold live for them: a sixteenth of a small gateway's 64 MB.
+	largeHeap = 4 << 20
+	// largeGoroutines is how many it may have that are not there for clients or hosts' connections.
+	largeGoroutines = 16
+)
+
+// largeSettings is those of a gateway among so many, which draws for the zone that all hosts are of.
+func largeSettings() string {
+	return strings.Replace(settings, `"balancers":2`, fmt.Sprintf(`"balancers":%d`, largeFleet), 1)
+}
+
+// largeHosts is a list of so many hosts. Each has an address of its own at one port of this machine.
+func largeHosts(port int, state string) []protocol.Entry {
+	entries := make([]protocol.Entry, largeFleet)
+	for i := range entries {
+		entries[i] = protocol.Entry{UID: fmt.Sprintf("host-%08x", i), Endpoint: fmt.Sprintf("127.1.%d.%d:%d", i>>8, i&255, port),
+			Zone: "a", Model: "m2", Cell: i, State: state, Size: 1}
+	}
+	return entries
+}
+
+// cost is what has been added to this process's live heap, and to its goroutines, since it was begun.
+type cost struct {
+	heap       uint64
+	goroutines int
+}
+
+func beginCost() cost {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return cost{m.HeapAlloc, runtime.NumGoroutine()}
+}
+
+// check reports what is over the bounds, beside so many goroutines of the test's own.
+func (c cost) check(t *testing.T, own int) {
+	t.Helper()
+	now := beginCost()
+	t.Logf("live heap %d KB more, goroutines %d more", (int64(now.heap)-int64(c.heap))>>10, now.goroutines-c.goroutines-own)
+	if now.heap > c.heap+largeHeap {
+		t.Errorf("live heap grew by %d KB", (now.heap-c.heap)>>10)
+	}
+	if n := now.goroutines - c.goroutines - own; n > largeGoroutines {
+		t.Errorf("%d goroutines more", n)
+	}
+}
+
+// openDesk opens a gateway with so many sockets; it has no list yet.
+func openDesk(t *testing.T, settings string, sockets int) *Desk {
+	t.Helper()
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d, err := Open([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	d.Listen(ln, false, sockets, 0, 64<<20)
+	return d
+}
+
+// discoveryOf answers each call for the list with the next text that it is given.
+func discoveryOf(t *testing.T) (addr string, lists chan<- []byte) {
+	texts := make(chan []byte)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case text := <-texts:
+			w.Write(text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String(), texts
+}
+
+func marshal(t *testing.T, what any) []byte {
+	t.Helper()
+	text, err := json.Marshal(what)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// eventually waits for what is to come about within a time.
+func eventually(t *testing.T, within time.Duration, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !so(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// A thousand hosts come as one list, then drain one by one, a change a call, and are all back with one call. Each is taken in by a gateway
+// among a thousand, and the whole of it costs little memory and no goroutine for each.
+func TestListLargeFleet(t *testing.T) {
+	d := openDesk(t, largeSettings(), 400)
+	addr, lists := discoveryOf(t)
+	before := beginCost()
+	d.Start(7, addr, nil)
+	known := func() (hosts, draining int, rev int64) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.list.addr), len(d.list.drains), d.list.rev
+	}
+	lists <- marshal(t, protocol.List{Rev: 1, All: true, Targets: largeHosts(5000, "in_service")})
+	eventually(t, 2*time.Second, "the whole list", func() bool { hosts, _, _ := known(); return hosts == largeFleet })
+	before.check(t, 0)
+
+	began := time.Now()
+	for i, e := range largeHosts(5000, protocol.Terminating) {
+		lists <- marshal(t, protocol.List{Rev: int64(2 + i), Targets: []protocol.Entry{e}})
+	}
+	eventually(t, time.Second, "all drain", func() bool { _, draining, _ := known(); return draining == largeFleet })
+	took := time.Since(began)
+	t.Logf("a change took %v", took/largeFleet)
+	if took > 10*time.Second {
+		t.Errorf("%v for %d changes", took, largeFleet)
+	}
+	lists <- marshal(t, protocol.List{Rev: 2 + largeFleet, Targets: largeHosts(5000, "in_service")})
+	eventually(t, time.Second, "all are back", func() bool { hosts, draining, _ := known(); return hosts == largeFleet && draining == 0 })
+	var shown struct{ Discovered, Ejected int }
+	if err := json.Unmarshal(d.Figures(), &shown); err != nil || shown.Discovered != largeFleet || shown.Ejected != 0 {
+		t.Errorf("figures: %+v, %v", shown, err)
+	}
+	lists <- marshal(t, protocol.List{Rev: 3 + largeFleet, All: true})
+	eventually(t, time.Second, "all are gone", func() bool { hosts, _, _ := known(); return hosts == 0 })
+}
+
+// peerSockets are the datagrams of other gateways.
+type peerSockets []*net.UDPConn
+
+func openPeers(t *testing.T) (sockets peerSockets, addrs []string) {
+	for range largeFleet {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		sockets, addrs = append(sockets, c), append(addrs, c.LocalAddr().String())
+	}
+	return sockets, addrs
+}
+
+// join joins a gateway to the others until the test ends: their ports may be another test's then.
+func join(t *testing.T, d *Desk, own string, addrs []string) {
+	t.Helper()
+	if err := d.Join(own, addrs, ""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.tells.socket.Close() })
+}
+
+// receive counts what each gets within a time, and gives the messages that it got.
+func (p peerSockets) receive(within time.Duration, wanted int) (got [][][]byte) {
+	got = make([][][]byte, len(p))
+	var all sync.WaitGroup
+	for i, c := range p {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c.SetReadDeadline(time.Now().Add(within))
+			for msg := make([]byte, 512); len(got[i]) < wanted; {
+				n, err := c.Read(msg)
+				if err != nil {
+					return
+				}
+				got[i] = append(got[i], slices.Clone(msg[:n]))
+			}
+		}()
+	}
+	all.Wait()
+	return got
+}
+
+// A thousand gateways ask one that draws for a thousand hosts, and tell it what they have out, while it is busy with something else: all of
+// it arrives, each ask is answered with a host, and it costs little memory and no goroutine for each.
+func TestToldLargeFleet(t *testing.T) {
+	const toldEach = 25
+	d := openDesk(t, largeSettings(), 400)
+	peers, addrs := openPeers(t)
+	own := addrs[0]
+	peers[0].Close()
+	peers = peers[1:]
+	before := beginCost()
+	join(t, d, own, addrs)
+	addr, _ := discoveryOf(t)
+	d.Start(7, addr, &protocol.List{Rev: 1, All: true, Targets: largeHosts(5000, "in_service")})
+
+	at := netip.MustParseAddrPort(own)
+	d.mu.Lock()
+	for i, c := range peers {
+		var out []logic.Held // as many as a datagram holds: a hop that is out at one host, and others with none any more
+		for k := range toldEach {
+			id, _ := d.list.number(fmt.Sprintf("host-%08x", (i+k)%largeFleet))
+			out = append(out, logic.Held{Kind: logic.Out, Host: id, Hops: 1 / (1 + k)})
+		}
+		for msg := range d.opened.Messages(out) {
+			c.WriteToUDPAddrPort(msg, at)
+		}
+		for msg := range d.opened.Messages([]logic.Held{{Kind: logic.Asks}}) {
+			c.WriteToUDPAddrPort(msg, at)
+		}
+	}
+	asked := time.Now()
+	d.mu.Unlock()
+	answered := map[logic.HostID]int{}
+	for i, got := range peers.receive(10*time.Second, 1) {
+		if len(got) != 1 {
+			t.Fatalf("gateway %d: %d answers", i+1, len(got))
+		}
+		held, err := d.opened.Held(got[0])
+		if err != nil || len(held) != 1 || held[0].Kind != logic.Answer || held[0].Host == 0 {
+			t.Fatalf("gateway %d is answered %+v, %v", i+1, held, err)
+		}
+		answered[held[0].Host]++
+	}
+	t.Logf("%d asks answered within %v", len(peers), time.Since(asked))
+	if told := d.Book.Told.Load(); told != 2*int64(len(peers)) || d.Book.ToldWrong.Load() != 0 {
+		t.Errorf("%d datagrams taken, %d dropped", told, d.Book.ToldWrong.Load())
+	}
+	if len(answered) < largeFleet/4 {
+		t.Errorf("only %d hosts are drawn", len(answered))
+	}
+	before.check(t, 0)
+}
+
+// What a gateway tells of a thousand hosts reaches a thousand others, each with the host's number and its hops.
+func TestTellLargeFleet(t *testing.T) {
+	d := openDesk(t, largeSettings(), 400)
+	peers, addrs := openPeers(t)
+	own := addrs[0]
+	peers[0].Close()
+	join(t, d, own, addrs)
+	addr, _ := discoveryOf(t)
+	d.Start(7, addr, nil)
+	var held []logic.Held
+	for i := range largeFleet {
+		held = append(held, logic.Held{Kind: logic.Out, Host: logic.HostID(1 + i), Hops: 1 + i%7})
+	}
+	messages := len(slices.Collect(d.opened.Messages(held)))
+	go d.decide(func(time.Duration) { d.Tell(-1, held) })
+	for i, got := range peers[1:].receive(10*time.Second, messages) {
+		var read []logic.Held
+		for _, msg := range got {
+			part, err := d.opened.Held(msg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			read = append(read, part...)
+		}
+		if !slices.Equal(read, held) {
+			t.Fatalf("gateway %d has %d datagrams of %d, %d hosts of %d", i+1, len(got), messages, len(read), len(held))
+		}
+	}
+	if n := d.Book.Untold.Load(); n != 0 {
+		t.Errorf("%d datagrams not sent", n)
+	}
+	d.decide(func(time.Duration) { d.Tell(largeFleet-1, held[:1]) })
+	if got := peers[largeFleet-1:].receive(time.Second, 1); len(got[0]) != 1 {
+		t.Error("the last gateway is not told")
+	}
+}
+
+// A process hands all that it has learnt of a thousand hosts to the next one, in far less than the time for which that waits.
+func TestLearntLargeFleet(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "heir")
+	known := func() *protocol.List {
+		return &protocol.List{Rev: 1, All: true, Targets: largeHosts(5000, "in_service")}
+	}
+	silent, _ := discoveryOf(t)
+	before := openDesk(t, largeSettings(), 400)
+	before.Start(7, silent, known())
+	before.decide(func(now time.Duration) {
+		what := before.opened.Learnt(now)
+		for i := range what.Hosts {
+			h := &what.Hosts[i]
+			h.Weight, h.Pace, h.Latency = 0.5+float64(i)/largeFleet/3, logic.Mean{Value: 1.0 / 3, N: 7}, logic.Mean{Value: 1e9 / 3, N: 1e4 / 3}
+			h.Share, h.Open, h.Cool = 1.0/3, 4*time.Second, 5*time.Second
+		}
+		before.opened.Learn(now, what, 0)
+	})
+	if err := before.Succeed(path); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	after := openDesk(t, largeSettings(), 400)
+	if err := after.Succeed(path); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes handed over within %v", len(before.learned()), time.Since(began))
+	addr, lists := discoveryOf(t)
+	after.Start(7, addr, nil)
+	lists <- marshal(t, known())
+	eventually(t, 2*time.Second, "the list", func() bool { after.mu.Lock(); defer after.mu.Unlock(); return after.list.has })
+	var was, is logic.Learnt
+	before.decide(func(now time.Duration) { was = before.opened.Learnt(now) })
+	after.decide(func(now time.Duration) { is = after.opened.Learnt(now) })
+	if len(is.Hosts) != largeFleet || len(was.Hosts) != largeFleet {
+		t.Fatalf("%d hosts of %d", len(is.Hosts), len(was.Hosts))
+	}
+	for i := range is.Hosts {
+		a, b := was.Hosts[i], is.Hosts[i]
+		if a.ID != b.ID || a.Weight != b.Weight || a.Pace != b.Pace || a.Latency != b.Latency || a.Share != b.Share || b.Open <= 0 {
+			t.Fatalf("host %d: %+v was learnt, %+v is known", i, a, b)
+		}
+	}
+}
