--- a/logic/state.go
+++ b/logic/state.go
@@ -612,9 +612,12 @@
 // draw is even over [0, 1).
 func (c *chance) draw() float64 {
 	c.draws++
-	var mixed [8]byte
-	binary.LittleEndian.PutUint64(mixed[:], uint64(c.draws)*uint64(c.seed|1))
-	return float64(crc32.Update(c.seed, crc32.IEEETable, mixed[:])) / (1 << 32)
+	sum := ^c.seed
+	for mixed, i := uint64(c.draws)*uint64(c.seed|1), 0; i < 8; i++ {
+		sum = crc32.IEEETable[byte(sum)^byte(mixed)] ^ sum>>8
+		mixed >>= 8
+	}
+	return float64(^sum) / (1 << 32)
 }
 
 type table struct {
