--- a/logic/logic.go
+++ b/logic/logic.go
@@ -403,7 +403,7 @@
 
 // draw picks from a group by weight and redraws once; over near it takes the host that promises most.
 func (b *Balancer) draw(g *group, t *tx, barred bool, near float64) (pick *host, e float64) {
-	var lots []lot
+	lots := make([]lot, 0, min(b.reach()+t.reRun(), len(g.hosts)))
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
