--- a/logic/logic.go
+++ b/logic/logic.go
@@ -142,9 +142,7 @@
 			b.unsaid(h)
 		}
 		h.again = false
-		if b.now-h.restAt > staleAge {
-			h.restAt = 0
-		}
+		h.restAt = either(b.now-h.restAt > staleAge, 0, h.restAt)
 		if b.price.Connections && h.used > 0 && h.own == 0 && b.now-h.used > giveBackAge {
 			h.used = 0
 			b.out.Release(h.ID)
@@ -217,9 +215,8 @@
 	pace := either(h.model.pace.n == 0, 1, max(h.model.pace.value, paceLeast)) // of a kind never seen: the usual
 	work := either(b.byZone(), b.mean, b.work[0]).value
 	through := max(1, h.model.places.value) / (work * pace)
-	if b.byZone() { // what warm ones answer shows what they can do at the least
-		through = max(through, coldSeen*h.model.rate.value*float64(b.place.Gateways)/float64(time.Second))
-	}
+	seen := coldSeen * h.model.rate.value * float64(b.place.Gateways) / float64(time.Second)
+	through = either(b.byZone(), max(through, seen), through) // warm ones show what they can do at the least
 	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
 	budget := warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
 	share, sent := part*budget, h.sentSince(b.now-b.cold.TipAfter)
@@ -320,9 +317,8 @@
 func reweigh(g []*host) {
 	median, sum := medianLat(g), 0.0
 	for _, h := range g {
-		if h.weight += weightStep; h.bad || h.fresh && h.lat.value > slowFactor*median {
-			h.weight = cutFactor * (h.weight - weightStep)
-		}
+		cut := h.bad || h.fresh && h.lat.value > slowFactor*median
+		h.weight = either(cut, cutFactor*h.weight, h.weight+weightStep)
 		h.bad, h.fresh = false, false
 		sum += h.weight
 	}
@@ -414,9 +410,7 @@
 			}
 			continue
 		}
-		if h.workAt > 0 && b.now-h.workAt < workAge {
-			x *= max(workFrom, h.work)
-		}
+		x *= either(h.workAt > 0 && b.now-h.workAt < workAge, max(workFrom, h.work), 1)
 		mean.add(x, 0)
 		// All gateways draw the same hosts for a key, as these remember it.
 		luck := either(t.key != 0, &chance{t.key, uint32(h.ID)}, &b.chance)
@@ -545,11 +539,8 @@
 // weight is a host's in such a draw. Where nothing tells of hosts it goes by what own hops took there lately,
 // and whether one is out: of many gateways each meets a host so seldom that it should have ended.
 func (b *Balancer) weight(h *host) float64 {
-	w := h.lean * h.weight * h.model.weight
-	if b.blind() {
-		w = weightBy * b.size(h) / math.Pow(max(1, b.feltAt(h)), feltPower)
-	}
-	return w / (1 + ownTimes*float64(h.own))
+	felt := weightBy * b.size(h) / math.Pow(max(1, b.feltAt(h)), feltPower)
+	return either(b.blind(), felt, h.lean*h.weight*h.model.weight) / (1 + ownTimes*float64(h.own))
 }
 
 // trusts tells whether no breaker bars a host, or lets it be tried. A trial must not cost a transaction that
@@ -570,10 +561,9 @@
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn more for the same work, unless these would be rolled back at a free host: all would be with them.
 func (b *Balancer) patience(profile int) float64 {
-	crowd := either(b.told(), crowdTold, crowdMost)
-	if b.lone() { // each sees its own hops alone, and there are more at a host the more gateways a zone has
-		crowd = 1 + (crowdMost-1)/math.Sqrt(max(1, float64(b.place.Gateways)/float64(len(b.table.groups))))
-	}
+	// A lone one sees its own hops alone, and there are more at a host the more gateways a zone has.
+	alone := 1 + (crowdMost-1)/math.Sqrt(max(1, float64(b.place.Gateways)/float64(len(b.table.groups))))
+	crowd := either(b.lone(), alone, either(b.told(), crowdTold, crowdMost))
 	bears := func(i int) float64 { return min(b.bears(i), crowd*b.free[i]) / b.work[i].value } // times the work
 	most := bears(profile)
 	from := either(b.price.ByWork, yieldByWork, yieldFrom) * b.earns(profile)
@@ -664,9 +654,8 @@
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
 	most = either(b.place.Gateways == 1 && h != nil && h.out() == 0, max(most, b.bears(t.profile)), most) // idle
-	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
-		most = min(most, b.free[t.profile]) // a free slot at a usual host
-	}
+	over := t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm)
+	most = either(over, min(most, b.free[t.profile]), most) // a free slot at a usual host
 	if h != nil && h.model.knee() > 0 {
 		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+passFree {
 			return nil
@@ -725,9 +714,8 @@
 	if b.isCold(h) {
 		h.sent = append(h.sent, b.now)
 	}
-	if h.own += t.weighs; h.own == 1 {
-		h.waiting = b.now
-	}
+	h.own += t.weighs
+	h.waiting = either(h.own == 1, b.now, h.waiting)
 	if all := h.own + h.others; b.guesses(h) && all >= askFrom && all%(askFrom/2) == 0 {
 		b.out.Probe(h.ID) // it may be full by now
 	}
@@ -781,10 +769,8 @@
 	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
 		return wait, 0
 	}
-	if b.shaken > 0 && b.now-b.shaken < doubtFor {
-		wait = min(wait, time.Duration(doubtTimes*b.expect(h, t.profile)))
-	}
-	return wait, idle
+	least := min(wait, time.Duration(doubtTimes*b.expect(h, t.profile)))
+	return either(b.shaken > 0 && b.now-b.shaken < doubtFor, least, wait), idle
 }
 
 // again sends a further hop where a host can still answer in time.
