An overload of hosts known by probes clears: their breakers open early and stay so

Only where probes alone tell of hosts (no reports, no gossip, not judged by zone): two attempts in a row that were overdue (by the least time of late) or full open a breaker for the longest cooldown, no panic pass takes such a host, a trial counts only in twice its time, retries keep to patience, unknown kinds are no longer let past it, and one request at a time is tried past patience.

--- a/logic/day_test.go
+++ b/logic/day_test.go
@@ -85,6 +85,9 @@
 	logged   []string
 	sizes    [][]logic.Host // of late, the newest last
 
+	goesOn    bool // hosts go on with a hop that is given up
+	queueMost int  // hops that may wait at a host, at the least as many as it has slots
+
 	fails func(k *playedHop) (logic.End, bool)                // a hop that ends at once in that way, or without an answer
 	drags func(k *playedHop) time.Duration                    // what it waits besides, in its slot
 	says  func(h *playedHost, l logic.Load) logic.Load        // what a host reports in place of l
@@ -254,7 +257,7 @@
 		}
 	}
 	h.advance()
-	if len(h.queue) >= h.slots {
+	if len(h.queue) >= max(h.queueMost, h.slots) {
 		k.gone = true
 		h.tell(k, logic.Full)
 		return
@@ -332,7 +335,7 @@
 // stops has a host stop work on a hop.
 func (g *playedGateway) stops(k *playedHop) {
 	g.after(g.way(k.host), func() {
-		if !k.gone {
+		if !k.gone && !g.goesOn {
 			k.host.advance()
 			k.host.remove(k)
 			k.host.next()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,6 +21,7 @@
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
+	overloadRow = 2                      // the same where overload ends them: each costs a place there
 	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
 	usualTimes  = 4.0                    // of the share at other hosts, over both: chance brings as much to any
 	usualMost   = 0.4                    // bound on that: a host that all but fails opens it whatever others do
@@ -231,7 +232,7 @@
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
 // that errs on half of its hops may never err five times in a row, so the share of errors counts too.
-func (k *breaker) note(bad bool, errs, usual, others float64, now time.Duration, chance float64) bool {
+func (k *breaker) note(bad, overload bool, errs, usual, others float64, now time.Duration, lot float64) bool {
 	was := k.open
 	switch {
 	case !bad && was && !k.trying:
@@ -241,11 +242,11 @@
 	default:
 		k.row++
 		k.share += errs * shareStep * (1 - k.share)
-		if was && k.trying || !was && (k.row >= rowToOpen && math.Pow(others, float64(k.row)) < rowChance ||
-			k.share >= shareToOpen+usual) {
-			k.open, k.trying = true, false
-			k.cool = min(max(2*k.cool, coolFirst), coolMost)
-			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
+		if was && k.trying || !was && (k.row >= either(overload, overloadRow, rowToOpen) &&
+			math.Pow(others, float64(k.row)) < rowChance || k.share >= shareToOpen+usual) {
+			k.open, k.trying, k.overload = true, false, overload || was && k.overload
+			k.cool = min(max(2*k.cool, either(overload, coolMost, coolFirst)), coolMost)
+			k.until = now + time.Duration((0.75+lot/2)*float64(k.cool)) // not in step with other gateways
 		}
 	}
 	return k.open != was
@@ -264,7 +265,7 @@
 		b.feel(h, profile, r)
 	}
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
-	bad, errs := false, 0.0
+	bad, errs, slow := false, 0.0, took > overdue*min(work.value, b.free[profile])*crowd
 	switch r.End {
 	case Committed:
 		b.heardOf[profile] = b.now
@@ -281,7 +282,7 @@
 		}
 	case TimedOut, CalledOff:
 		// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
-		bad = took > overdue*work.value*crowd
+		bad = either(b.probesOnly(), slow, took > overdue*work.value*crowd)
 		h.paced, h.bad = b.now, h.bad || bad || r.End == TimedOut
 		h.lat.add(max(took, h.lat.value), paceStep)
 		// One answer lost, where that is far over the work, must not make its host look ten times as slow.
@@ -289,6 +290,8 @@
 	case Error, Broken, NoConnection, Full:
 		h.waiting, h.bad, bad, errs = b.now, true, true, 1
 	}
+	overload := b.probesOnly() && bad && (r.End == Full || r.End == TimedOut || r.End == CalledOff)
+	h.model.overloaded = h.model.overloaded || overload
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
 		return
@@ -304,7 +307,8 @@
 	for i, c := range h.breakers(profile) {
 		if i == 0 && r.End == Full {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, usual, either(r.End == Error, others, 0), b.now, b.chance.draw()) {
+		} else if c.note(bad || slow && c.open && c.overload, overload, errs, usual,
+			either(r.End == Error, others, 0), b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -339,7 +343,9 @@
 }
 
 // guesses tells whether a host's slots are a guess: by it a start's transactions had been turned away.
-func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
+func (b *Balancer) guesses(h *host) bool {
+	return b.from.Probes && h.model.places.n == 0 && !h.model.overloaded
+}
 
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
@@ -399,7 +405,8 @@
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
-		if !t.fits(h, b.now) || !b.coldRoom(h, t.profile) || !barred && b.silent(h) || b.unsure(h) ||
+		if !t.fits(h, b.now) || !b.coldRoom(h, t.profile) ||
+			either(barred, h.overloaded(t.profile), b.silent(h)) || b.unsure(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
 		}
@@ -662,10 +669,15 @@
 		}
 		b.passed++
 	}
-	if h == nil || !b.guesses(h) && e > most &&
-		(h.own > 0 || b.now-min(max(h.paced, h.restAt), b.heardOf[t.profile]) < staleAge || !b.rare()) {
+	if h == nil || b.probesOnly() && !h.closed(t.profile) || b.guesses(h) || e <= most { // or a trial
+		return h
+	}
+	if h.own > 0 || b.now-min(max(h.paced, h.restAt), b.heardOf[t.profile]) < staleAge || !b.rare() {
 		return nil
 	}
+	if b.probesOnly() { // one such at a time
+		h.paced, b.heardOf[t.profile] = b.now, b.now
+	}
 	return h
 }
 
@@ -779,7 +791,8 @@
 		return false
 	}
 	h, e := b.choose(t)
-	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) {
+	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) ||
+		b.probesOnly() && h.closed(t.profile) && e > b.patience(t.profile) {
 		return false
 	}
 	b.retries[t.profile].retried(b.now, b.retryBudget().Span)
--- a/logic/state.go
+++ b/logic/state.go
@@ -343,6 +343,11 @@
 	return b.place.Gateways <= fewGateways && !b.from.Tells && !b.from.Reports
 }
 
+// probesOnly tells whether it learns of each host by the ends of its own hops and by probes now and then, and from nobody else.
+func (b *Balancer) probesOnly() bool {
+	return b.from.Probes && !b.from.Tells && !b.from.Reports && !b.byZone()
+}
+
 // feel takes in what a hop took, of what it takes at a free host. What a profile feels those that earn less feel alike; of those that
 // earn more it says less, as hosts may see to them first.
 func (b *Balancer) feel(h *host, profile int, r Result) {
@@ -787,17 +792,18 @@
 
 // model is what like hosts show.
 type model struct {
-	weight float64 // times that of each host, where the list tells what they hold
-	rest   average // held for each core there, ditto
-	size   float64 // the largest that the list has told of one: what one that holds nothing is
-	done   float64 // answers of warm hosts of this kind within the last second
-	warm   float64 // these hosts
-	rate   average // answers of each a second
-	places average // hops in work at a full host, where reports show it
-	usual  average // hops there, where hosts report these and utilisation
-	held   average // those up to the usual ones, when cores are free
-	busy   average // and the utilisation then
-	pace   average // times the usual time of a profile
+	weight     float64 // times that of each host, where the list tells what they hold
+	rest       average // held for each core there, ditto
+	size       float64 // the largest that the list has told of one: what one that holds nothing is
+	done       float64 // answers of warm hosts of this kind within the last second
+	warm       float64 // these hosts
+	rate       average // answers of each a second
+	places     average // hops in work at a full host, where reports show it
+	usual      average // hops there, where hosts report these and utilisation
+	held       average // those up to the usual ones, when cores are free
+	busy       average // and the utilisation then
+	overloaded bool    // one of these hosts was: how many hops they take is no guess then
+	pace       average // times the usual time of a profile
 }
 
 // group is the hosts of one zone.
@@ -961,6 +967,11 @@
 // closed tells whether neither breaker is open.
 func (h *host) closed(profile int) bool { return !h.whole.open && !h.by[profile].open }
 
+// overloaded tells whether overload opened a breaker that is open.
+func (h *host) overloaded(profile int) bool {
+	return slices.ContainsFunc(h.breakers(profile), func(k *breaker) bool { return k.open && k.overload })
+}
+
 // dueBy is when all its open breakers are due for a trial.
 func (h *host) dueBy(profile int) (by time.Duration) {
 	for _, k := range h.breakers(profile) {
@@ -1047,12 +1058,13 @@
 }
 
 type breaker struct {
-	row    int           // failures in a row
-	share  float64       // smoothed share of errors
-	open   bool          // no hops but trials
-	trying bool          // a trial is out
-	until  time.Duration // when the next trial is due
-	cool   time.Duration // the cooldown before it
+	row      int           // failures in a row
+	share    float64       // smoothed share of errors
+	open     bool          // no hops but trials
+	trying   bool          // a trial is out
+	overload bool          // it was opened by overload
+	until    time.Duration // when the next trial is due
+	cool     time.Duration // the cooldown before it
 }
 
 // retries counts a profile's transactions taken and its hops beyond each transaction's first.
