--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,6 +22,7 @@
 	askEach     = 25 * time.Millisecond  // of a list source's time for each gateway: some dozen calls a second
 	askAgain    = time.Second            // first delay after a lost list, doubled twice; lists are seconds late
 	rowToOpen   = 5                      // failures in a row that open a breaker, the paper's figure
+	overloadRow = 2                      // the same where overload ends them: each costs a place there
 	shareToOpen = 0.25                   // share of errors over that at all hosts: two or three close together
 	usualTimes  = 4.0                    // of the share at other hosts, over both: chance brings as much to any
 	usualMost   = 0.4                    // bound on that: a host that all but fails opens it whatever others do
@@ -210,9 +211,8 @@
 	pace := either(h.model.pace.n == 0, 1, max(h.model.pace.value, paceLeast)) // of a kind never seen: the usual
 	work := either(b.byZone(), b.mean, b.work[0]).value
 	through := max(1, h.model.places.value) / (work * pace)
-	if b.byZone() { // what warm ones answer shows what they can do at the least
-		through = max(through, coldSeen*h.model.rate.value*float64(b.place.Gateways)/float64(time.Second))
-	}
+	seen := coldSeen * h.model.rate.value * float64(b.place.Gateways) / float64(time.Second)
+	through = either(b.byZone(), max(through, seen), through) // warm ones show what they can do at the least
 	part := either(b.now < b.cold.Beside, 1-coldPart, coldPart) / float64(b.place.Gateways)
 	budget := warm * b.cold.Multiple * through * float64(b.cold.TipAfter)
 	share, sent := part*budget, h.sentSince(b.now-b.cold.TipAfter)
@@ -227,23 +227,22 @@
 
 // note tells whether the breaker changed. Only a trial's answer closes it: late ones prove nothing. A host
 // that errs on half of its hops may never err five times in a row, so the share of errors counts too.
-func (k *breaker) note(bad bool, errs, limit, others float64, now time.Duration, chance float64) bool {
+func (k *breaker) note(bad, overload bool, errs, limit, others float64, now time.Duration, lot float64) bool {
 	was := k.open
 	switch {
 	case !bad && was && !k.trying:
 	case !bad:
 		k.row, k.open, k.trying, k.cool, k.since = 0, false, false, 0, now
-		k.fails *= 1 - shareStep
-		k.share *= 1 - shareStep
+		k.fails, k.share = k.fails*(1-shareStep), k.share*(1-shareStep)
 	default:
-		k.row, k.since = min(k.row+1, math.MaxInt16-1), either(k.row == 0, now, k.since)
+		k.row, k.since = min(k.row+1, math.MaxUint8-1), either(k.row == 0, now, k.since)
 		k.fails += shareStep * (1 - k.fails)
 		k.share += errs * shareStep * (1 - k.share)
-		if was && k.trying || !was && (k.row >= rowToOpen && math.Pow(others, float64(k.row)) < rowChance ||
-			k.share >= limit) {
-			k.open, k.trying = true, false
-			k.cool = min(max(2*k.cool, coolFirst), coolMost)
-			k.until = now + time.Duration((0.75+chance/2)*float64(k.cool)) // not in step with other gateways
+		if was && k.trying || !was && (k.row >= either[uint8](overload, overloadRow, rowToOpen) &&
+			math.Pow(others, float64(k.row)) < rowChance || k.share >= limit) {
+			k.open, k.trying, k.overload = true, false, overload || was && k.overload
+			k.cool = min(max(2*k.cool, either(overload, coolMost, coolFirst)), coolMost)
+			k.until = now + time.Duration((0.75+lot/2)*float64(k.cool)) // not in step with other gateways
 		}
 	}
 	return k.open != was
@@ -260,8 +259,9 @@
 	b.heard(h, r.Load)
 	crowd, work, took := h.crowd(load), &b.work[profile], float64(r.Took)
 	late, bad := r.End == TimedOut || r.End == CalledOff, r.End != Committed && r.End != Moot
+	slow := took > overdue*min(work.value, b.free[profile])*crowd
 	// In a jam hops time out everywhere: only one far over a usual host's time speaks of a hang.
-	bad = either(late, took > overdue*work.value*crowd, bad)
+	bad = either(late, either(b.probesOnly(), slow, took > overdue*work.value*crowd), bad)
 	errs, apart := either(bad && !late, 1.0, 0), bad && b.failsApart(h, profile)
 	if b.byZone() && !apart {
 		hangs := late && bad && usualTimes*b.table.failsBeside(h, profile, b.now-jamForget) < shareToOpen
@@ -288,6 +288,8 @@
 	case bad && !apart:
 		h.waiting, h.bad = b.now, true
 	}
+	overload := b.probesOnly() && bad && !apart && (late || r.End == Full)
+	h.model.overloaded = h.model.overloaded || overload
 	if r.End != Committed && !bad { // proves nothing of the host: a trial must be had again
 		h.whole.trying, h.by[profile].trying = false, false
 		return
@@ -299,12 +301,12 @@
 		others = b.table.errsElsewhere(h, b.now-staleAge)
 		usual = b.errs.value + min(usualTimes*others, usualMost)
 	}
-	limit := either(apart, 0, shareToOpen+usual)
 	of := [...]string{"all profiles", b.profiles[profile].Name}
 	for i, c := range h.breakers(profile) {
 		if i == 0 && (r.End == Full || apart) {
 			c.trying = false // a full host turns all profiles away: one turned away alone is not its queue
-		} else if c.note(bad, errs, limit, either(r.End == Error, others, 0), b.now, b.chance.draw()) {
+		} else if c.note(bad || slow && c.open && c.overload, overload, errs,
+			either(apart, 0, shareToOpen+usual), either(r.End == Error, others, 0), b.now, b.chance.draw()) {
 			b.out.Log(fmt.Sprintf("host %d, %s: breaker open %t", h.ID, of[i], c.open))
 		}
 	}
@@ -324,9 +326,8 @@
 func reweigh(g []*host) {
 	median, sum := medianLat(g), 0.0
 	for _, h := range g {
-		if h.weight += weightStep; h.bad || h.fresh && h.lat.value > slowFactor*median {
-			h.weight = cutFactor * (h.weight - weightStep)
-		}
+		cut := h.bad || h.fresh && h.lat.value > slowFactor*median
+		h.weight = either(cut, cutFactor*h.weight, h.weight+weightStep)
 		h.bad, h.fresh = false, false
 		sum += h.weight
 	}
@@ -347,7 +348,9 @@
 }
 
 // guesses tells whether a host's slots are a guess: by it a start's transactions had been turned away.
-func (b *Balancer) guesses(h *host) bool { return b.from.Probes && h.model.places.n == 0 }
+func (b *Balancer) guesses(h *host) bool {
+	return b.from.Probes && h.model.places.n == 0 && !h.model.overloaded
+}
 
 func (b *Balancer) expect(h *host, profile int) float64 {
 	return b.work[profile].value * h.slowness() * h.crowd(h.out()+1)
@@ -407,7 +410,8 @@
 	var mean average
 	whole := b.place.Gateways <= fewGateways || b.relaying // all that is out is known
 	for _, h := range g.hosts[:min(b.reach()+t.reRun(), len(g.hosts))] {
-		if !t.fits(h, b.now) || !b.coldRoom(h, t.profile) || !barred && b.silent(h) || b.unsure(h) ||
+		if !t.fits(h, b.now) || !b.coldRoom(h, t.profile) ||
+			either(barred, h.overloaded(t.profile), b.silent(h)) || b.unsure(h) ||
 			b.relaying && !b.draws(g) && b.now-h.heldBy[b.drawer(g)].at > askWait {
 			continue
 		}
@@ -418,9 +422,7 @@
 			}
 			continue
 		}
-		if h.workAt > 0 && b.now-h.workAt < workAge {
-			x *= max(workFrom, h.work)
-		}
+		x *= either(h.workAt > 0 && b.now-h.workAt < workAge, max(workFrom, h.work), 1)
 		mean.add(x, 0)
 		// All gateways draw the same hosts for a key, as these remember it.
 		luck := either(t.key != 0, &chance{t.key, uint32(h.ID)}, &b.chance)
@@ -549,11 +551,8 @@
 // weight is a host's in such a draw. Where nothing tells of hosts it goes by what own hops took there lately,
 // and whether one is out: of many gateways each meets a host so seldom that it should have ended.
 func (b *Balancer) weight(h *host) float64 {
-	w := h.lean * h.weight * h.model.weight
-	if b.blind() {
-		w = weightBy * b.size(h) / math.Pow(max(1, b.feltAt(h)), feltPower)
-	}
-	return w / (1 + ownTimes*float64(h.own))
+	felt := weightBy * b.size(h) / math.Pow(max(1, b.feltAt(h)), feltPower)
+	return either(b.blind(), felt, h.lean*h.weight*h.model.weight) / (1 + ownTimes*float64(h.own))
 }
 
 // trusts tells whether no breaker bars a host, or lets it be tried. A trial must not cost a transaction that
@@ -575,10 +574,9 @@
 // patience is the expected time over which a transaction is rolled back on arrival. A profile yields to those
 // that earn more for the same work, unless these would be rolled back at a free host: all would be with them.
 func (b *Balancer) patience(profile int) float64 {
-	crowd := either(b.told(), crowdTold, crowdMost)
-	if b.lone() { // each sees its own hops alone, and there are more at a host the more gateways a zone has
-		crowd = 1 + (crowdMost-1)/math.Sqrt(max(1, float64(b.place.Gateways)/float64(len(b.table.groups))))
-	}
+	// A lone one sees its own hops alone, and there are more at a host the more gateways a zone has.
+	alone := 1 + (crowdMost-1)/math.Sqrt(max(1, float64(b.place.Gateways)/float64(len(b.table.groups))))
+	crowd := either(b.lone(), alone, either(b.told(), crowdTold, crowdMost))
 	bears := func(i int) float64 { return min(b.bears(i), crowd*b.free[i]) / b.work[i].value } // times the work
 	most := bears(profile)
 	from := either(b.price.ByWork, yieldByWork, yieldFrom) * b.earns(profile)
@@ -672,19 +670,23 @@
 	most := b.patience(t.profile)
 	h, e := b.choose(t)
 	most = either(b.place.Gateways == 1 && h != nil && h.out() == 0, max(most, b.bears(t.profile)), most) // idle
-	if t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm) {
-		most = min(most, b.free[t.profile]) // a free slot at a usual host
-	}
+	over := t.over && h != nil && (b.now-h.busyAt >= staleAge || h.busy >= busyCalm)
+	most = either(over, min(most, b.free[t.profile]), most) // a free slot at a usual host
 	if h != nil && h.model.knee() > 0 {
 		if e = 0; b.chance.draw()*b.came > passTimes*b.passed+passFree {
 			return nil
 		}
 		b.passed++
 	}
-	if h == nil || !b.guesses(h) && e > most &&
-		(h.own > 0 || b.now-min(max(h.paced, h.restAt), b.heardOf[t.profile]) < staleAge || !b.rare()) {
+	if h == nil || b.probesOnly() && !h.closed(t.profile) || b.guesses(h) || e <= most { // or a trial
+		return h
+	}
+	if h.own > 0 || b.now-min(max(h.paced, h.restAt), b.heardOf[t.profile]) < staleAge || !b.rare() {
 		return nil
 	}
+	if b.probesOnly() { // one such at a time
+		h.paced, b.heardOf[t.profile] = b.now, b.now
+	}
 	return h
 }
 
@@ -733,9 +735,8 @@
 	if b.isCold(h) {
 		h.sent = append(h.sent, b.now)
 	}
-	if h.own += t.weighs; h.own == 1 {
-		h.waiting = b.now
-	}
+	h.own += t.weighs
+	h.waiting = either(h.own == 1, b.now, h.waiting)
 	if all := h.own + h.others; b.guesses(h) && all >= askFrom && all%(askFrom/2) == 0 {
 		b.out.Probe(h.ID) // it may be full by now
 	}
@@ -783,10 +784,8 @@
 	if !b.price.Connections || h.used == 0 || idle < doubtFrom || h.own > 1 {
 		return wait, 0
 	}
-	if b.shaken > 0 && b.now-b.shaken < doubtFor {
-		wait = min(wait, time.Duration(doubtTimes*b.expect(h, t.profile)))
-	}
-	return wait, idle
+	least := min(wait, time.Duration(doubtTimes*b.expect(h, t.profile)))
+	return either(b.shaken > 0 && b.now-b.shaken < doubtFor, least, wait), idle
 }
 
 // again sends a further hop where a host can still answer in time.
@@ -795,7 +794,8 @@
 		return false
 	}
 	h, e := b.choose(t)
-	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) {
+	if h == nil || len(t.hops) >= t.most || e >= float64(t.stop-b.now) ||
+		b.probesOnly() && h.closed(t.profile) && e > b.patience(t.profile) {
 		return false
 	}
 	b.retries[t.profile].retried(b.now, b.retryBudget().Span)
