Tests of streams from draining hosts share how their client is set up

Cause: nine lines stood twice in stream_test.go. Change: one function for both; assertions are the same.

--- a/internal/routing/stream_test.go
+++ b/internal/routing/stream_test.go
@@ -326,14 +326,7 @@
 			nc.(*net.TCPConn).SetLinger(0)
 			nc.Close()
 		})
-		s.takeList(s.list.line, 1, &protocol.List{Rev: 5, All: true, Targets: []protocol.Entry{host}})
-		c := s.dial()
-		c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
-		io.WriteString(c, text("read", "long", ""))
-		<-began
-		c.r.Peek(1)
-		host.State = "terminating"
-		s.takeList(s.list.line, 0, &protocol.List{Rev: 6, Targets: []protocol.Entry{host}})
+		c := s.slowClientOfDrainingHost(host, began)
 		close(drains)
 		fmt.Print(form, ": ", <-gone)
 		answer, err := http.ReadResponse(c.r, nil)
@@ -350,6 +343,20 @@
 	// broken off: host gave all: true, its socket holds 0, client has all: true unexpected EOF
 }
 
+// slowClientOfDrainingHost is a client whose answer has begun and which takes no more of it, so that the gateway waits for it and looks at the
+// host meanwhile. The host, the only one, is told to drain then.
+func (s *stage) slowClientOfDrainingHost(host protocol.Entry, began <-chan bool) *line {
+	s.takeList(s.list.line, 1, &protocol.List{Rev: 5, All: true, Targets: []protocol.Entry{host}})
+	c := s.dial()
+	c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	io.WriteString(c, text("read", "long", ""))
+	<-began
+	c.r.Peek(1)
+	host.State = "terminating"
+	s.takeList(s.list.line, 0, &protocol.List{Rev: 6, Targets: []protocol.Entry{host}})
+	return c
+}
+
 // An answer that says neither its length nor its chunks is whole where its host closes the connection, and broken off where that is reset. The
 // order that lost requests: the host drains, so the gateway looks whether more has come, and the reset is there as it looks. On Linux a look
 // takes a connection's error with it, and the next read finds a proper end.
@@ -373,14 +380,7 @@
 			nc.Close()
 			close(ended)
 		})
-		s.takeList(s.list.line, 1, &protocol.List{Rev: 5, All: true, Targets: []protocol.Entry{host}})
-		c := s.dial()
-		c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10) // the gateway waits for its client, and looks at the host meanwhile
-		io.WriteString(c, text("read", "long", ""))
-		<-began
-		c.r.Peek(1)
-		host.State = "terminating"
-		s.takeList(s.list.line, 0, &protocol.List{Rev: 6, Targets: []protocol.Entry{host}})
+		c := s.slowClientOfDrainingHost(host, began)
 		close(drains)
 		<-ended
 		answer, err := http.ReadResponse(c.r, nil)
