--- a/logic/overload_test.go
+++ b/logic/overload_test.go
@@ -42,23 +42,35 @@
 	for _, gateways := range []int{2, 8} {
 		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
 			t.Parallel()
-			before, held, back := 0.0, 0.0, 0.0
-			for seed := range uint64(overloadSeeds) {
-				d := overloaded(gateways, seed+1).play(overloadEnds + 2*time.Second)
-				inGoal := func(from, to time.Duration) float64 {
-					n := d.tally(from, to, nil)
-					return n.of(n.inGoal) / overloadSeeds
-				}
-				before += inGoal(startWithin, heldFrom-time.Second)
-				held += inGoal(heldFrom+time.Second, heldUntil)
-				back += inGoal(backBy, overloadEnds)
-			}
-			line := fmt.Sprintf("within the goal: before %.0f%%, while held %.0f%%, once back %.0f%%", 100*before, 100*held, 100*back)
-			if back < backAtLeast*before {
-				t.Error(line)
-			} else {
-				t.Log(line)
-			}
+			overloadClears(t, gateways)
 		})
 	}
 }
+
+// The same of twenty gateways, each of which meets a host so seldom that two ends by overload in a row come late (KNOWN-RED.txt).
+func TestOverloadClearsTwentyGateways(t *testing.T) {
+	t.Parallel()
+	overloadClears(t, 20)
+}
+
+// overloadClears holds the share within the goal once service is to be back against that before.
+func overloadClears(t *testing.T, gateways int) {
+	t.Helper()
+	before, held, back := 0.0, 0.0, 0.0
+	for seed := range uint64(overloadSeeds) {
+		d := overloaded(gateways, seed+1).play(overloadEnds + 2*time.Second)
+		inGoal := func(from, to time.Duration) float64 {
+			n := d.tally(from, to, nil)
+			return n.of(n.inGoal) / overloadSeeds
+		}
+		before += inGoal(startWithin, heldFrom-time.Second)
+		held += inGoal(heldFrom+time.Second, heldUntil)
+		back += inGoal(backBy, overloadEnds)
+	}
+	line := fmt.Sprintf("within the goal: before %.0f%%, while held %.0f%%, once back %.0f%%", 100*before, 100*held, 100*back)
+	if back < backAtLeast*before {
+		t.Error(line)
+	} else {
+		t.Log(line)
+	}
+}
