--- a/internal/transport/bounds.go
+++ b/internal/transport/bounds.go
@@ -38,4 +38,7 @@
 	lingerTimeout           = 500 * time.Millisecond  // for a client to read a last response before its connection is closed
 	maxLingerBytes          = 1 << 20                 // bytes discarded meanwhile: far more than any request has left
 	minWriteTimeout         = 500 * time.Millisecond  // for a response to be written: it fits the socket's buffer as a rule
+	datagramsPerSender      = 2                       // datagrams of each other gateway that may wait to be read: an ask and what is told meanwhile; more would be read after their senders gave up
+	minPendingDatagrams     = 400                     // of all senders together, at the least: a gateway that tells of a thousand hosts needs some forty at once
+	datagramBufferCost      = 640                     // bytes of SO_RCVBUF, which the kernel doubles, that a datagram of the longest size uses up, bookkeeping included, as measured on Linux
 )
--- a/internal/transport/datagrams.go
+++ b/internal/transport/datagrams.go
@@ -8,17 +8,6 @@
 	"syscall"
 )
 
-const (
-	// pendingPerSender is how many datagrams of each other gateway may wait to be read, while this process waits for a core or takes in a
-	// list: an ask for a host and what is told meanwhile. More would only be read once their senders had given up on an answer.
-	pendingPerSender = 2
-	// pendingDatagrams is the least for all senders together: a gateway that tells of a thousand hosts needs some forty at once.
-	pendingDatagrams = 400
-	// datagramCost is how much of a socket's receive buffer a datagram of the longest size uses up, its bookkeeping included, as measured
-	// on Linux: 640 of the bytes that SO_RCVBUF is set to, which the kernel doubles.
-	datagramCost = 640
-)
-
 // Datagrams is the socket on which gateways tell each other.
 type Datagrams struct{ conn *net.UDPConn }
 
@@ -34,7 +23,7 @@
 		return nil, err
 	}
 	d := &Datagrams{conn}
-	wanted := max(pendingDatagrams, pendingPerSender*senders) * datagramCost
+	wanted := max(minPendingDatagrams, datagramsPerSender*senders) * datagramBufferCost
 	if err := conn.SetReadBuffer(wanted); err != nil {
 		slog.Warn("receive buffer of datagrams left as it was", "error", err)
 	}
