--- a/internal/given/held.go
+++ b/internal/given/held.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	heldBytes = 10  // a host's id, hops, what is told and an end, a profile, a time
-	MostBytes = 256 // what one message may hold
-	tookUnit  = 100 * time.Microsecond
+	heldBytes   = 10  // a host's id, hops, what is told and an end, a profile, a time
+	MostBytes   = 256 // what one message may hold
+	tookUnit    = 100 * time.Microsecond
+	maxToldHops = 1<<10 - 1 // at one host: of a thousand gateways each may have one out there
 )
 
 // Messages is what a gateway tells another, in as many messages as it needs. Profiles are named by a checksum of their names:
@@ -29,6 +30,8 @@
 	}
 }
 
+// message writes one message. The sixth byte of an entry holds the kind and the end in three bits each; the two bits left over are the
+// high ones of the hops, which were always 0 while hops were told up to 255 only.
 func (o *Opened) message(held []logic.Held) []byte {
 	msg := make([]byte, 0, MostBytes)
 	for _, k := range held {
@@ -37,7 +40,8 @@
 			mark = markOf(o.known[k.Profile].Name)
 		}
 		msg = binary.LittleEndian.AppendUint32(msg, uint32(k.Host))
-		msg = append(msg, byte(min(k.Hops, 255)), byte(k.Kind)<<4|byte(k.End))
+		hops := min(k.Hops, maxToldHops)
+		msg = append(msg, byte(hops), byte(hops>>9)<<7|byte(k.Kind)<<4|byte(hops>>8&1)<<3|byte(k.End))
 		msg = binary.LittleEndian.AppendUint16(msg, mark)
 		msg = binary.LittleEndian.AppendUint16(msg, uint16(min(k.Took/tookUnit, 1<<16-1)))
 	}
@@ -53,8 +57,8 @@
 	}
 	held := make([]logic.Held, 0, len(msg)/heldBytes)
 	for ; len(msg) > 0; msg = msg[heldBytes:] {
-		k := logic.Held{Host: logic.HostID(binary.LittleEndian.Uint32(msg)), Hops: int(msg[4]),
-			Kind: logic.HeldKind(msg[5] >> 4), End: logic.End(msg[5] & 15),
+		k := logic.Held{Host: logic.HostID(binary.LittleEndian.Uint32(msg)), Hops: int(msg[5]>>7)<<9 | int(msg[5]>>3&1)<<8 | int(msg[4]),
+			Kind: logic.HeldKind(msg[5] >> 4 & 7), End: logic.End(msg[5] & 7),
 			Took: time.Duration(binary.LittleEndian.Uint16(msg[8:])) * tookUnit}
 		if k.Kind > logic.Answer || k.End > logic.Moot {
 			return nil, fmt.Errorf("unknown kind %d or end %d", k.Kind, k.End)
--- /dev/null
+++ b/internal/given/size_test.go
@@ -0,0 +1,125 @@
+package given_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"spanmux/internal/given"
+	"spanmux/logic"
+)
+
+// largeFleet is how many gateways, and how many hosts, no part of the program may fall short of.
+const largeFleet = 1024
+
+// largeSettings is those of a gateway among so many, with a zone for each host.
+func largeSettings(me int) []byte {
+	zones := make([]string, largeFleet)
+	for i := range zones {
+		zones[i] = fmt.Sprintf("zone-%04d", i)
+	}
+	text, err := json.Marshal(map[string]any{"balancers": largeFleet, "me": me, "dcs": zones, "myZone": zones[0], "discovery": "subscribe",
+		"limits":   map[string]any{"mostHops": 3, "mayTell": true},
+		"profiles": []map[string]any{{"name": "read", "effect": "idempotent", "serviceGoal": 400000, "hardLimit": 2000000, "revenue": 1}}})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// The settings of the first and of the last of so many gateways are sound.
+func TestCheckLargeFleet(t *testing.T) {
+	for _, me := range []int{0, largeFleet - 1} {
+		if err := given.Check(largeSettings(me), largeFleet); err != nil {
+			t.Error(err)
+		}
+		opened, err := given.Read(largeSettings(me), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if opened.Gateways != largeFleet || opened.Me != me {
+			t.Errorf("gateway %d of %d", opened.Me, opened.Gateways)
+		}
+		if _, err := opened.Retuned(largeSettings(me), largeFleet); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// What is told of so many hosts, each with another number of hops there, is read as it was told, and so is a zone's number in what is
+// asked. Hops were told up to 255 only: a host with one hop of each of a thousand gateways looked like one with a quarter of that, and all
+// zones from the 256th on like one.
+func TestMessagesLargeFleet(t *testing.T) {
+	opened, err := given.Read(largeSettings(0), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, kind := range []logic.HeldKind{logic.Out, logic.Sum, logic.Ended, logic.Asks, logic.Answer} {
+		var told, read []logic.Held
+		for i := range largeFleet {
+			k := logic.Held{Kind: kind, Host: logic.HostID(1 + i<<22), Hops: i}
+			if kind == logic.Ended {
+				k.End, k.Took = logic.End(i%int(logic.Moot+1)), time.Duration(i)*time.Millisecond
+			}
+			told = append(told, k)
+		}
+		messages := 0
+		for msg := range opened.Messages(told) {
+			if messages++; len(msg) > given.MostBytes {
+				t.Errorf("kind %d: a message of %d bytes", kind, len(msg))
+			}
+			held, err := opened.Held(msg)
+			if err != nil {
+				t.Errorf("kind %d: %v", kind, err)
+			}
+			read = append(read, held...)
+		}
+		if !slices.Equal(read, told) {
+			i := 0
+			for i < len(read) && read[i] == told[i] {
+				i++
+			}
+			t.Errorf("kind %d: from host %d on something else is read than was told: %+v", kind, i, read[i])
+		}
+		if messages != 41 {
+			t.Errorf("kind %d: %d messages", kind, messages)
+		}
+	}
+}
+
+// More hops than fit are told as the most that do.
+func TestMessagesManyHops(t *testing.T) {
+	opened, err := given.Read(largeSettings(0), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for msg := range opened.Messages([]logic.Held{{Kind: logic.Ended, Host: 7, Hops: 5000, End: logic.Moot}}) {
+		held, err := opened.Held(msg)
+		if err != nil || len(held) != 1 || held[0].Hops != 1023 || held[0].End != logic.Moot || held[0].Kind != logic.Ended {
+			t.Errorf("read as %+v, %v", held, err)
+		}
+	}
+}
+
+// Up to 255 hops a message is what it was before more could be told, so that gateways of both builds understand each other; kinds that
+// there are none of are refused as before.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	opened, err := given.Read(largeSettings(0), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for msg := range opened.Messages([]logic.Held{{Kind: logic.Ended, Host: 0x04030201, Hops: 255, End: logic.Moot, Took: time.Second}}) {
+		if text := fmt.Sprintf("%x", msg); text[:12] != "01020304ff27" || text[16:] != "1027" {
+			t.Errorf("written as %s", text)
+		}
+	}
+	for kind := logic.Answer + 1; kind < 8; kind++ {
+		for _, high := range []byte{0, 0x88} {
+			if held, err := opened.Held([]byte{1, 0, 0, 0, 1, byte(kind)<<4 | high, 0, 0, 0, 0}); err == nil {
+				t.Errorf("kind %d is read as %+v", kind, held)
+			}
+		}
+	}
+}
