Failing test: a peer's message during startup ends the process

The test sends a valid message every 50 us to the address of a process that starts with a known list of 10,000 hosts, whose parsing lies between the opening of the socket and the creation of the core.

--- /dev/null
+++ b/cmd/spanmux/startup_input_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// hostListText returns a complete host list, in the form of discovery, with so many hosts that nothing listens at.
+func hostListText(hosts int) string {
+	entries := make([]string, hosts)
+	for i := range entries {
+		entries[i] = fmt.Sprintf(`{"uid":"s%d","endpoint":"127.0.0.1:9","az":"a","model":"m","pod_group":%d,"state":"in_service","boot_ms":0}`, i, i)
+	}
+	return `{"rev":1,"all":true,"targets":[` + strings.Join(entries, ",") + `]}`
+}
+
+// sendPeerMessages sends a valid message from one peer to another every 50 µs, until stop is closed. The receiver need not listen yet.
+func sendPeerMessages(from *net.UDPConn, to string, stop chan bool) {
+	addr, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		panic(err)
+	}
+	message := make([]byte, 10) // one entry: no hops in flight at a host
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Microsecond):
+			from.WriteToUDP(message, addr)
+		}
+	}
+}
+
+// answersReady reports whether a gateway answers that it is ready.
+func answersReady(addr string) bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + addr + "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// A restarted process must survive messages that its peers send while it starts: the peers know its address from before, and do not know of
+// the restart. It used to call the decision core before that was created, and ended with a nil dereference.
+func TestPeerMessagesDuringStartup(t *testing.T) {
+	const starts = 3
+	own, peer := freeAddress(), freeAddress()
+	peerAddr, err := net.ResolveUDPAddr("udp", peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.ListenUDP("udp", peerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	stop := make(chan bool)
+	defer close(stop)
+	go sendPeerMessages(socket, own, stop)
+	for start := range starts {
+		addr := freeAddress()
+		settings := `{"balancers":2,"me":0,"dcs":["a"],"myZone":"a","discovery":"subscribe","obligations":{"askWithin":10000000},` +
+			`"limits":{"mostHops":2,"mayTell":true},"profiles":[{"name":"read","effect":"idempotent","serviceGoal":1000000,"hardLimit":2000000,"revenue":1}]}`
+		p := startProcess(t.TempDir(), start, 200, 2, map[string]any{"listen": addr, "discovery": "127.0.0.1:9", "peer_listen": own,
+			"peers": []string{own, peer}, "settings": json.RawMessage(settings), "known": json.RawMessage(hostListText(10_000))})
+		ended := make(chan error, 1)
+		go func() { ended <- p.Wait() }()
+		if !eventually(func() bool { return len(ended) > 0 || answersReady(addr) }) {
+			t.Errorf("start %d: not ready", start)
+		}
+		select {
+		case err := <-ended:
+			t.Fatalf("start %d: the process ended: %v", start, err)
+		default:
+		}
+		p.Process.Kill()
+		<-ended
+	}
+}
