Input that comes before the decision core is created waits for it

Cause: run opens the sockets (peers, then handover) before Start creates the core, and each has a goroutine that calls the core as soon as something arrives. Peers know the address from before the restart and send up to hundreds of messages a second, so one came within the few milliseconds (the known list is parsed there) in one of some twenty restarts. The core is an interface value that was still nil.

Every use of the core from outside goes through lockCore now, which waits until Start has created it, so it does not matter which source opens when, nor which one is added. Messages wait in the socket's buffer meanwhile. startedAt and the connection to discovery are written under the lock as well.

--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -12,7 +12,7 @@
 // admit hands a transaction to the decision core, unless it is invalid or there are too many
 // connections. It returns false if the connection ends.
 func (d *Dispatcher) admit(t *tx) bool {
-	d.mu.Lock()
+	d.lockCore()
 	t.counters = d.profileCounters[t.request.Profile]
 	profileIndex, known := d.core.FindProfile(d.now(), t.request.Profile, t.request.Effect)
 	d.mu.Unlock()
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -102,7 +102,7 @@
 	}{Succeeded: map[string]int64{}, Declined: map[string]int64{}, Aborted: map[string]int64{},
 		Forwards: d.Counters.HopsWritten.Load(), Outstanding: d.Counters.OpenTransactions.Load(),
 		Applied: d.Counters.SettingsApplied.Load(), Rejected: d.Counters.SettingsRejected.Load()}
-	d.mu.Lock()
+	d.lockCore()
 	for name, counters := range d.profileCounters { // encoding/json sorts the keys
 		metrics.Succeeded[name] = counters.committed.Load()
 		metrics.Declined[name], metrics.Aborted[name] = counters.rolledBack.Load(), counters.aborted.Load()
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -47,6 +47,8 @@
 		receivedAt time.Time // zero if it sent nothing
 	}
 
+	started chan struct{} // closed once the decision core exists
+
 	// The following fields are guarded by mu; startedAt is set once.
 	mu              sync.Mutex
 	startedAt       time.Time
@@ -94,7 +96,7 @@
 	core, err := config.Parse(settings, defaultMaxListPollInterval)
 	d := &Dispatcher{core: core, txs: map[logic.TxID]*tx{}, openTraceIDs: map[string]bool{}, discovery: newDiscoveryState(),
 		profileCounters: map[string]*profileCounters{}, listReceived: make(chan struct{}),
-		streams: map[*responseStream]bool{}}
+		streams: map[*responseStream]bool{}, started: make(chan struct{})}
 	d.markListReceived = sync.OnceFunc(func() { close(d.listReceived) })
 	if err == nil {
 		d.addProfileCounters()
@@ -104,10 +106,22 @@
 	return d, err
 }
 
+// lockCore locks mu for a call of the decision core. It waits until Start has created the core: what
+// peers, a previous process or clients send may arrive earlier.
+func (d *Dispatcher) lockCore() {
+	<-d.started
+	d.mu.Lock()
+}
+
 // callCore calls the decision core under the lock. What the core wants done is run afterwards, without
 // the lock.
 func (d *Dispatcher) callCore(call func(now time.Duration)) {
-	d.mu.Lock()
+	d.lockCore()
+	d.callLocked(call)
+}
+
+// callLocked is callCore for a caller that holds mu, which it releases.
+func (d *Dispatcher) callLocked(call func(now time.Duration)) {
 	invariant.Check(!d.inCore, "no reentrant call of the decision core")
 	d.inCore = true
 	call(d.now())
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -321,7 +321,7 @@
 
 // encodeLearnedState returns what this process has learned, for the next one.
 func (d *Dispatcher) encodeLearnedState() []byte {
-	d.mu.Lock()
+	d.lockCore()
 	state := d.core.ExportLearned(d.now())
 	d.mu.Unlock()
 	text, err := json.Marshal(state)
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -101,26 +101,33 @@
 }
 
 // Start starts the decision core and the calls to discovery. knownList is the last known host list, or
-// nil.
+// nil. What arrives before it, from peers for instance, waits for it.
 func (d *Dispatcher) Start(seed uint64, discoveryAddr string, knownList *protocol.HostList) {
+	d.startCore(seed, discoveryAddr)
+	if knownList != nil && len(knownList.Hosts) > 0 {
+		d.applyList(d.discovery.conn, logic.ListCached, knownList)
+	}
+	d.callCore(func(time.Duration) {
+		if d.core.HostListPushed { // a pushed list has to be known from the first moment
+			d.startListWatch()
+		}
+	})
+}
+
+// startCore creates the decision core, and lets waiting calls of it proceed.
+func (d *Dispatcher) startCore(seed uint64, discoveryAddr string) {
+	d.mu.Lock()
 	d.startedAt, d.discovery.conn = time.Now(), &transport.DiscoveryConn{Addr: discoveryAddr}
 	d.discovery.random = rand.New(rand.NewPCG(seed, uint64(d.core.GatewayIndex))) // so that gateways with one seed don't call at the same time
 	d.discovery.backoffTimer = time.AfterFunc(time.Hour, func() { d.callCore(func(time.Duration) { d.startListWatch() }) })
 	d.discovery.backoffTimer.Stop()
-	d.callCore(func(now time.Duration) {
+	d.callLocked(func(now time.Duration) {
 		predecessorActiveUntil := time.Duration(0)
 		if d.sharedListener {
 			predecessorActiveUntil = now + predecessorActiveDuration
 		}
 		d.core.Start(d, now, seed, predecessorActiveUntil)
-	})
-	if knownList != nil && len(knownList.Hosts) > 0 {
-		d.applyList(d.discovery.conn, logic.ListCached, knownList)
-	}
-	d.callCore(func(time.Duration) {
-		if d.core.HostListPushed { // a pushed list has to be known from the first moment
-			d.startListWatch()
-		}
+		close(d.started)
 	})
 }
 
