--- a/cmd/spanmux/idleclients_test.go
+++ b/cmd/spanmux/idleclients_test.go
@@ -17,9 +17,18 @@
 	"time"
 )
 
-// startProcess starts the program as a process of its own, with a default configuration and overrides of its top-level keys.
-// number sets its name, its seed and its index among the gateways. The first of files is its listener.
+// startProcess starts the process of processCommand.
 func startProcess(dir string, number, sockets, gateways int, overrides map[string]any, files ...*os.File) *exec.Cmd {
+	p := processCommand(dir, number, sockets, gateways, overrides, files...)
+	if err := p.Start(); err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// processCommand returns the program as a process of its own, with a default configuration and overrides of its top-level keys.
+// number sets its name, its seed and its index among the gateways. The first of files is its listener.
+func processCommand(dir string, number, sockets, gateways int, overrides map[string]any, files ...*os.File) *exec.Cmd {
 	config := map[string]any{"name": fmt.Sprint(number), "listen": "127.0.0.1:1", "seed": fmt.Sprintf("%x", 7+number),
 		"limits": map[string]any{"sockets": sockets, "memory_mb": 64},
 		"settings": json.RawMessage(fmt.Sprintf(`{"balancers":%d,"me":%d,"dcs":["a"],"myZone":"a","discovery":"subscribe",`+
@@ -38,9 +47,6 @@
 	if p.ExtraFiles = files; len(files) > 0 {
 		p.Env = append(p.Env, "BALANCER_ACCEPT_FD=3")
 	}
-	if err := p.Start(); err != nil {
-		panic(err)
-	}
 	return p
 }
 
--- a/cmd/spanmux/startup_input_test.go
+++ b/cmd/spanmux/startup_input_test.go
@@ -68,19 +68,17 @@
 		addr := freeAddress()
 		settings := `{"balancers":2,"me":0,"dcs":["a"],"myZone":"a","discovery":"subscribe","obligations":{"askWithin":10000000},` +
 			`"limits":{"mostHops":2,"mayTell":true},"profiles":[{"name":"read","effect":"idempotent","serviceGoal":1000000,"hardLimit":2000000,"revenue":1}]}`
-		p := startProcess(t.TempDir(), start, 200, 2, map[string]any{"listen": addr, "discovery": "127.0.0.1:9", "peer_listen": own,
-			"peers": []string{own, peer}, "settings": json.RawMessage(settings), "known": json.RawMessage(hostListText(10_000))})
-		ended := make(chan error, 1)
-		go func() { ended <- p.Wait() }()
-		if !eventually(func() bool { return len(ended) > 0 || answersReady(addr) }) {
+		p := startCommand(t, processCommand(t.TempDir(), start, 200, 2, map[string]any{"listen": addr, "discovery": "127.0.0.1:9", "peer_listen": own,
+			"peers": []string{own, peer}, "settings": json.RawMessage(settings), "known": json.RawMessage(hostListText(10_000))}))
+		if !p.becomesReady(addr) {
 			t.Errorf("start %d: not ready", start)
 		}
 		select {
-		case err := <-ended:
+		case err := <-p.ended:
 			t.Fatalf("start %d: the process ended: %v", start, err)
 		default:
 		}
 		p.Process.Kill()
-		<-ended
+		<-p.ended
 	}
 }
