Each kind of signal has a channel of its own, and reloads run beside the rest

Callers of a process that was told to end during a series of reloads were cut off at its kill. Cause: one channel of four for all signals, and os/signal drops what does not fit (run in main.go). The rule that was broken is general, so no kind shares a channel with another now; each holds one signal, as one more reload after the last SIGHUP reads the newest file.

SIGTERM waited for a reload in progress, too, up to 0.1 s with 10,000 hosts, while the time until the kill runs: reloads are done by a goroutine of their own. They change the gateway under its lock, as before.

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -12,12 +12,10 @@
 	"math"
 	"net"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"spanmux/internal/config"
 	"spanmux/internal/control"
@@ -84,8 +82,8 @@
 
 // run runs the gateway until SIGTERM or SIGINT. It prints its counters at the end and on SIGUSR1, and reads its file again on SIGHUP.
 func run(path string, out io.Writer) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	signals := notifySignals()
+	defer signals.stop()
 	cfg, current, err := readConfig(path)
 	if err != nil {
 		return err
@@ -151,10 +149,14 @@
 	serveAdmin()
 	slog.Info("gateway listening", "addr", cfg.Listen, "sockets", cfg.Limits.Sockets)
 
-	for received := <-signals; received == syscall.SIGUSR1 || received == syscall.SIGHUP; received = <-signals {
-		if received == syscall.SIGHUP {
-			current = reload(path, current, dispatcher)
-		} else {
+	ended := make(chan bool)
+	defer close(ended)
+	go reloadOnSignal(signals.reload, ended, path, current, dispatcher)
+	for terminated := false; !terminated; {
+		select {
+		case <-signals.terminate:
+			terminated = true
+		case <-signals.printCounters:
 			fmt.Fprint(out, dispatcher.CountersText())
 		}
 	}
@@ -164,6 +166,19 @@
 	return nil
 }
 
+// reloadOnSignal reloads the configuration file at each signal until ended is closed; current is the text in force. It runs beside the
+// reaction to SIGTERM: a reload may take a good part of the time that is left to a process then.
+func reloadOnSignal(signals <-chan os.Signal, ended <-chan bool, path string, current []byte, dispatcher *routing.Dispatcher) {
+	for {
+		select {
+		case <-signals:
+			current = reload(path, current, dispatcher)
+		case <-ended:
+			return
+		}
+	}
+}
+
 // reload reads the configuration file again, applies everything in it that may change at runtime, or nothing, and returns the text of the
 // file that is in force afterwards. A file that is missing, truncated, incomplete or invalid changes nothing: the gateway keeps serving with
 // the current one.
