Failing test: a process ends when the reader of its log is gone

A write to standard output or standard error that finds a broken pipe ends a Go program by SIGPIPE. A log collector that restarts or crashes so ends every gateway on its machine, at the next log line of each.

--- a/cmd/spanmux/signals_test.go
+++ b/cmd/spanmux/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"os"
 	"os/exec"
 	"syscall"
 	"testing"
@@ -64,3 +65,31 @@
 	}
 	p.checkEndsAfterTerm(t)
 }
+
+// A process must go on where nothing reads its log any more. The runtime ends a program that writes to standard output or standard error
+// once that is a broken pipe, unless SIGPIPE is ignored.
+func TestLogReaderGone(t *testing.T) {
+	addr := freeAddress()
+	command := processCommand(t.TempDir(), 1, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
+		"known": json.RawMessage(hostListText(10))})
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command.Stdout, command.Stderr = writer, writer
+	p := startCommand(t, command)
+	writer.Close()
+	reader.Close()
+	if !p.becomesReady(addr) {
+		t.Fatal("not ready")
+	}
+	for range 3 {
+		p.Process.Signal(syscall.SIGHUP) // logged
+		p.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if !answersReady(addr) {
+		t.Error("not ready after its log was closed")
+	}
+	p.checkEndsAfterTerm(t)
+}
