SIGPIPE is ignored, so that a log without a reader ends no process

A gateway ended at the first log line after the reader of its log had gone, and its clients were cut off. Cause: the Go runtime ends a program whose write to descriptor 1 or 2 finds a broken pipe, unless SIGPIPE is ignored or taken. Other descriptors were never concerned: those writes return EPIPE.

With SIGPIPE ignored the write returns an error, which slog drops.

--- a/cmd/spanmux/signals.go
+++ b/cmd/spanmux/signals.go
@@ -15,9 +15,11 @@
 	printCounters chan os.Signal // SIGUSR1
 }
 
-// notifySignals starts to receive signals, until stop is called.
+// notifySignals starts to receive signals, until stop is called. SIGPIPE is ignored for good: it would end the program at the first log line
+// after the reader of its log has gone.
 func notifySignals() *processSignals {
 	s := &processSignals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
 	signal.Notify(s.printCounters, syscall.SIGUSR1)
