Failing test: SIGHUP in the first milliseconds ends the process

Until the program asks for SIGHUP the signal's default holds, and that is to end it. A platform that has a new configuration for a process which it has just started so ends it by a signal.

--- a/cmd/spanmux/signals_test.go
+++ b/cmd/spanmux/signals_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +95,38 @@
 	}
 	p.checkEndsAfterTerm(t)
 }
+
+// A SIGHUP that comes before the program handles signals must not end it: the platform may have a new configuration for a process that has just
+// been started. The file is read after that, so nothing is missed. The test starts the program by the deploy file's command, and sends the
+// signal as soon as the shell has become the program.
+func TestReloadSignalDuringStartup(t *testing.T) {
+	const starts = 20
+	deployFile, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, command, _ := strings.Cut(string(deployFile), "\nrun = \"")
+	command, _, _ = strings.Cut(command, "\"\n")
+	if !strings.HasSuffix(command, "exec bin/spanmux") {
+		t.Fatalf("command of the deploy file: %q", command)
+	}
+	command = strings.TrimSuffix(command, "bin/spanmux") + os.Args[0]
+	for start := range starts {
+		addr := freeAddress()
+		shell := processCommand(t.TempDir(), start, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
+			"known": json.RawMessage(hostListText(10))})
+		shell.Path, shell.Args = "/bin/sh", []string{"sh", "-c", command}
+		p := startCommand(t, shell)
+		isShell := func() bool {
+			name, err := os.ReadFile(fmt.Sprintf("/proc/%d/comm", p.Process.Pid))
+			return err == nil && string(name) == "sh\n"
+		}
+		for isShell() {
+		}
+		p.Process.Signal(syscall.SIGHUP)
+		if !p.becomesReady(addr) {
+			t.Errorf("start %d: not ready", start)
+		}
+		p.checkEndsAfterTerm(t)
+	}
+}
