--- a/cmd/spanmux/signals_test.go
+++ b/cmd/spanmux/signals_test.go
@@ -112,21 +112,29 @@
 	}
 	command = strings.TrimSuffix(command, "bin/spanmux") + os.Args[0]
 	for start := range starts {
-		addr := freeAddress()
-		shell := processCommand(t.TempDir(), start, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
-			"known": json.RawMessage(hostListText(10))})
-		shell.Path, shell.Args = "/bin/sh", []string{"sh", "-c", command}
-		p := startCommand(t, shell)
-		isShell := func() bool {
-			name, err := os.ReadFile(fmt.Sprintf("/proc/%d/comm", p.Process.Pid))
-			return err == nil && string(name) == "sh\n"
-		}
-		for isShell() {
-		}
-		p.Process.Signal(syscall.SIGHUP)
-		if !p.becomesReady(addr) {
-			t.Errorf("start %d: not ready", start)
-		}
-		p.checkEndsAfterTerm(t)
+		t.Run(fmt.Sprint(start), func(t *testing.T) {
+			t.Parallel()
+			checkReloadSignalDuringStartup(t, command)
+		})
 	}
 }
+
+// checkReloadSignalDuringStartup starts the program by a shell command and sends SIGHUP in its first moment.
+func checkReloadSignalDuringStartup(t *testing.T, command string) {
+	addr := freeAddress()
+	shell := processCommand(t.TempDir(), 1, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
+		"known": json.RawMessage(hostListText(10))})
+	shell.Path, shell.Args = "/bin/sh", []string{"sh", "-c", command}
+	p := startCommand(t, shell)
+	isShell := func() bool {
+		name, err := os.ReadFile(fmt.Sprintf("/proc/%d/comm", p.Process.Pid))
+		return err == nil && string(name) == "sh\n"
+	}
+	for isShell() {
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	if !p.becomesReady(addr) {
+		t.Error("not ready")
+	}
+	p.checkEndsAfterTerm(t)
+}
