The log is written by a goroutine of its own, and lines are dropped where nobody reads it

Requests were not answered while the reader of the log hung: slog writes under a lock, in the goroutine that has something to say, and a full pipe keeps it there. The same held for the counters on standard output, whose writing at the end could keep a process until its kill.

internal/logging has a Writer with a bounded queue (1,024 lines, 256 KiB) in front of both. What does not fit is dropped and counted (log_lines_dropped), and a line says how many are missing. At the end it writes what is pending for 20 ms at the most. Options weighed: a non-blocking pipe (a half line is written then), a file of our own (not where the platform collects).

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -16,9 +16,11 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"spanmux/internal/config"
 	"spanmux/internal/control"
+	"spanmux/internal/logging"
 	"spanmux/internal/protocol"
 	"spanmux/internal/routing"
 	"spanmux/internal/transport"
@@ -29,6 +31,8 @@
 	memoryLimitFraction = 0.75
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is small, and the memory limit bounds it.
 	gcPercent = 400
+	// outputFlushTimeout bounds the wait for the last output to be written: the platform may kill the process soon.
+	outputFlushTimeout = 20 * time.Millisecond
 )
 
 // configFile is the content of the configuration file.
@@ -53,8 +57,15 @@
 func main() {
 	path := flag.String("config", os.Getenv("BALANCER_CONFIG"), "configuration file (JSON)")
 	flag.Parse()
-	if err := run(*path, os.Stdout); err != nil {
+	output, log := logging.NewWriter(os.Stdout), logging.NewWriter(os.Stderr)
+	slog.SetDefault(slog.New(slog.NewTextHandler(log, nil)))
+	err := run(*path, output)
+	if err != nil {
 		slog.Error("spanmux failed", "error", err)
+	}
+	output.Close(outputFlushTimeout)
+	log.Close(outputFlushTimeout)
+	if err != nil {
 		os.Exit(1)
 	}
 }
@@ -88,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name))
+	slog.SetDefault(slog.With("gateway", cfg.Name))
 	seed, err := strconv.ParseUint(cfg.Seed, 16, 64)
 	if err != nil {
 		return fmt.Errorf("seed: %w", err)
