--- /dev/null
+++ b/cmd/spanmux/soak_record_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+// requestRecord is what a client saw of one request. Times count from the start of the run.
+type requestRecord struct {
+	traceID, profile string
+	gateway          int
+	process          int // which of the gateway's processes, from 0, as the client's connection was opened
+	budget           time.Duration
+	connectedAt      time.Duration
+	fresh            bool          // the first request of its connection
+	sentAt           time.Duration // when its last byte was written
+	leftAt           time.Duration // when the client closed without waiting; 0 if it did not
+	endedAt          time.Duration // when it was answered, or the client gave up
+	status           int           // 0 without an answer
+	bytesReceived    bool          // some of an answer came
+	bodyWrong        bool          // a whole answer that no host made
+	timedOut         bool          // the connection was still open as the client gave up
+	afterOthers      bool          // it was sent together with others before it
+	failure          string        // why there was no whole answer
+}
+
+// attemptRecord is what a host saw of one attempt.
+type attemptRecord struct {
+	traceID     string
+	host        int
+	generation  int // which of the hosts at this place, from 0
+	gateway     int // by the address that the connection was made to
+	firstByteAt time.Duration
+	wholeAt     time.Duration // 0 if its last byte never came
+	expiresIn   time.Duration
+	mode        hostMode
+}
+
+// listRecord is a list change that discovery wrote to a process.
+type listRecord struct {
+	gateway, process, host int
+	state                  string
+	writtenAt              time.Duration
+}
+
+// processRecord is one process of a gateway.
+type processRecord struct {
+	gateway, process   int
+	startedAt, readyAt time.Duration
+	termAt, endedAt    time.Duration
+	movedAt            time.Duration // when discovery was last moved
+	killed             bool          // it had not ended by the earliest time of the kill
+	stopped            bool          // it was still running at the end of the run
+	endedUnasked       bool          // before any SIGTERM
+	exit               error
+	peakMemoryKiB      int
+	maxDescriptors     int
+}
+
+// soakRecord has the records of all that take part in a run.
+type soakRecord struct {
+	began     time.Time
+	mu        sync.Mutex
+	requests  []requestRecord
+	attempts  []*attemptRecord
+	lists     []listRecord
+	processes []*processRecord
+	partials  []partialRecord
+}
+
+// partialRecord is a client that sent part of a request and stayed.
+type partialRecord struct {
+	gateway         int
+	sentAt, endedAt time.Duration // endedAt is when it got a response or the connection ended
+}
+
+// now returns the time since the start of the run.
+func (r *soakRecord) now() time.Duration { return time.Since(r.began) }
+
+// addRequest records a request.
+func (r *soakRecord) addRequest(request requestRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, request)
+}
+
+// addAttempt records an attempt; its fields may be completed later under the lock.
+func (r *soakRecord) addAttempt(attempt *attemptRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts = append(r.attempts, attempt)
+}
--- /dev/null
+++ b/cmd/spanmux/soak_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	soakFirstSeed = flag.Uint64("soak-first-seed", 1, "first seed of TestSoak")
+	soakRuns      = flag.Int("soak-runs", 4, "number of seeds of TestSoak")
+	soakParallel  = flag.Int("soak-parallel", 4, "runs of TestSoak at a time")
+	soakLogs      = flag.String("soak-logs", "", "folder in which TestSoak keeps the logs of its gateways")
+)
+
+// minServedFraction is what a run has to serve for its checks to say anything.
+const minServedFraction = 0.2
+
+// TestSoak plays gateways, as processes of their own, between stand-in clients, hosts and a discovery that are drawn from a seed, and checks
+// the rules on what clients and hosts recorded. Processes get signals in series and are replaced while clients go on sending on their
+// connections until the kill, which comes as early as it may. One seed draws the same run each time; what it meets of it depends on timing.
+//
+//	go test -run TestSoak ./cmd/spanmux -soak-first-seed 17 -soak-runs 1 -soak-logs /tmp/soak
+func TestSoak(t *testing.T) {
+	slots := make(chan bool, *soakParallel)
+	var wait sync.WaitGroup
+	for i := range *soakRuns {
+		seed := *soakFirstSeed + uint64(i)
+		slots <- true
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			defer func() { <-slots }()
+			playSoak(t, seed)
+		}()
+	}
+	wait.Wait()
+}
+
+// playSoak plays the run of a seed and checks its records.
+func playSoak(t *testing.T, seed uint64) {
+	s := drawScenario(seed)
+	dir := cmp.Or(*soakLogs, t.TempDir())
+	dir = filepath.Join(dir, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Error(err)
+		return
+	}
+	record := playScenario(s, dir)
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	violations := judge(record, s)
+	served, refused, failed, unanswered := record.outcomes()
+	fmt.Printf("%v; requests %d: served %d, refused %d, failed %d, unanswered %d; attempts %d; violations %d\n",
+		s, len(record.requests), served, refused, failed, unanswered, len(record.attempts), len(violations))
+	if float64(served) < minServedFraction*float64(len(record.requests)) {
+		t.Errorf("seed %d: served %d of %d requests", seed, served, len(record.requests))
+	}
+	for _, violation := range violations {
+		t.Errorf("seed %d: %s", seed, violation)
+	}
+}
+
+// outcomes counts the requests by their outcome.
+func (r *soakRecord) outcomes() (served, refused, failed, unanswered int) {
+	for _, request := range r.requests {
+		switch request.status {
+		case http.StatusOK:
+			served++
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			refused++
+		case 0:
+			unanswered++
+		default:
+			failed++
+		}
+	}
+	return served, refused, failed, unanswered
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// playScenario plays a run and returns what its parts recorded.
+func playScenario(s *scenario, dir string) *soakRecord {
+	record := &soakRecord{began: time.Now()}
+	var hosts []*soakHost
+	for i, phases := range s.hosts {
+		hosts = append(hosts, startSoakHost(record, i, 0, phases))
+	}
+	gateways := make([]*soakGateway, soakGateways)
+	discovery := startSoakDiscovery(record, hosts, func(gateway int) int { return gateways[gateway].processIndex() })
+	peerAddrs := make([]string, soakGateways)
+	for i := range peerAddrs {
+		peerAddrs[i] = freeAddress()
+	}
+	for i := range gateways {
+		gateways[i] = &soakGateway{index: i, scenario: s, record: record, discovery: discovery, dir: dir, addr: freeAddress(), peerAddrs: peerAddrs,
+			random: rand.New(rand.NewPCG(s.seed, uint64(1000+i))), terminated: make(chan bool)}
+	}
+	for _, gateway := range gateways {
+		gateway.start(0)
+	}
+	playParts(s, record, gateways, discovery, hosts)
+	for _, gateway := range gateways {
+		gateway.stop()
+	}
+	discovery.stop()
+	for _, host := range hosts {
+		host.stop()
+	}
+	return record
+}
+
+// playParts plays the clients, and what the scenario has of signals and of changes, and waits for all of it.
+func playParts(s *scenario, record *soakRecord, gateways []*soakGateway, discovery *soakDiscovery, hosts []*soakHost) {
+	var parts sync.WaitGroup
+	start := func(play func()) {
+		parts.Add(1)
+		go func() {
+			defer parts.Done()
+			play()
+		}()
+	}
+	newClient := func(number int) *soakClient {
+		return &soakClient{number: number, record: record, scenario: s, gateways: gateways, random: rand.New(rand.NewPCG(s.seed, uint64(number)))}
+	}
+	for number := range s.clients {
+		start(newClient(number).run)
+	}
+	for gateway := range gateways {
+		for i := range 4 {
+			start(func() { newClient(100 + 10*gateway + i).rest(gateway) })
+			start(func() { newClient(200 + 10*gateway + i).sendPartOfRequest(gateway) })
+		}
+		start(gateways[gateway].playSignals)
+	}
+	start(func() { playChanges(s, record, discovery, hosts) })
+	var crowds []*idleClients
+	for _, gateway := range gateways {
+		if s.crowd > 0 {
+			crowds = append(crowds, startIdleClients(gateway.addr, s.crowd))
+		}
+	}
+	parts.Wait()
+	for _, crowd := range crowds {
+		crowd.stopAll()
+	}
+}
+
+// playChanges makes the changes of the list, and the outages of discovery, at their times.
+func playChanges(s *scenario, record *soakRecord, discovery *soakDiscovery, hosts []*soakHost) {
+	type change struct {
+		at   time.Duration
+		make func()
+	}
+	var changes []change
+	for _, step := range s.lists {
+		changes = append(changes, change{step.at, func() { discovery.change(step.host, step.state) }})
+		if step.state == "terminated" {
+			changes = append(changes, change{step.at + soakDrainGrace, hosts[step.host].stop})
+		}
+	}
+	for _, outage := range s.outages {
+		changes = append(changes, change{outage.from, func() { discovery.setDown(true) }}, change{outage.until, func() { discovery.setDown(false) }})
+	}
+	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	for _, change := range changes {
+		time.Sleep(change.at - record.now())
+		change.make()
+	}
+}
