A host connection is used again only 10 ms after its last response

A client got another request's answer, as served: a host had answered the request before twice, and its second answer came after the next request had gone out on the same connection.

The pool rests a connection for 10 ms after a response; a second answer that comes within it shows, and the connection is closed as before. A request for which only such connections are idle waits for the one that is ready first, and looks again then whether it is still wanted; that wait does not count against its host. Its time passing meanwhile ends it like a missing slot, without blame.

Tests that count connections of requests sent at once one after the other (ExamplePool and its like, Example_connectionCost, Example_longMessageDoesNotBlock) let the connection rest between them; what they count and expect is unchanged. hosts_unsolicited counts what came behind an answer.

--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -161,7 +161,7 @@
 		{"clients_accepted", &d.listener.Accepted}, {"clients_crowded", &d.listener.AcceptedOverLimit},
 		{"clients_gave_way", &d.listener.Evicted},
 		{"clients_broke", &counters.ClientReadErrors}, {"hosts_connections", &d.pool.Opened},
-		{"hosts_connections_gave_way", &d.pool.Evicted}, {"must_broken", &invariant.Violations}, {"log_lines_dropped", &logging.DroppedLines},
+		{"hosts_connections_gave_way", &d.pool.Evicted}, {"hosts_unsolicited", &d.pool.Unsolicited}, {"must_broken", &invariant.Violations}, {"log_lines_dropped", &logging.DroppedLines},
 	} {
 		fmt.Fprintf(&text, "spanmux_%s %d\n", c.name, c.n.Load())
 	}
--- a/internal/routing/interruptions_test.go
+++ b/internal/routing/interruptions_test.go
@@ -396,6 +396,7 @@
 		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	gateway.roundTrip("read", "go")
+	time.Sleep(reuseTime)
 	gateway.callCore(func(time.Duration) { host = gateway.discovery.idByUID["scripted"] })
 	done := make(chan transport.Outcome, 1)
 	gateway.callCore(func(time.Duration) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -37,6 +37,9 @@
 	discoveryResponses chan string // the next responses of discovery; "" stands for 503
 }
 
+// reuseTime is longer than the pool leaves a connection idle before it uses it again.
+const reuseTime = 15 * time.Millisecond
+
 // newTestGateway starts a gateway with hosts of the given UIDs; the one named down refuses connections.
 func newTestGateway(hosts ...string) *testGateway { return newTestGatewayWith(testSettings, hosts...) }
 
@@ -629,6 +632,7 @@
 		gateway := newTestGatewayWith(settings, "one", "two", "three")
 		for i := range 11 {
 			gateway.roundTrip("read", fmt.Sprint(i))
+			time.Sleep(reuseTime)
 		}
 		hosts := map[string]bool{}
 		for _, line := range gateway.log {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,7 +24,7 @@
 	OutcomeBroken                       // the connection broke after that, or the response was malformed
 	OutcomeTimedOut                     // no complete response by the deadline
 	OutcomeCancelled                    // cancelled after the last byte was written
-	OutcomeNoSlot                       // the connection limit left no slot for it: nothing has run, and the host was not contacted
+	OutcomeNoSlot                       // no connection came free for it in time: nothing has run, and the host was not contacted
 	OutcomeWithdrawn                    // cancelled, or no longer wanted, before the last byte was written: nothing has run
 )
 
@@ -42,8 +42,8 @@
 	// with the writer for the rest, and returns without blocking; false ends the exchange. The time for the response
 	// is then an argument of BodyWriter.WriteLast.
 	StreamBody func(*BodyWriter) bool
-	// SlotWait is the time that the exchange spent waiting for a slot of the connection limit, for which its host is
-	// not responsible.
+	// SlotWait is the time that the exchange spent waiting for a slot of the connection limit or until a connection
+	// may be used again, for which its host is not responsible.
 	SlotWait time.Duration
 
 	mu             sync.Mutex
@@ -164,7 +164,9 @@
 }
 
 // Pool holds the connections to hosts. Of the idle connections to a host the one used most recently is used first, so
-// that the others reach their idle time-out and few are kept.
+// that the others reach their idle time-out and few are kept. A connection is used again only reuseDelay after its last
+// response: a host may answer a request twice, and nothing tells a second answer that crosses the next request from the
+// answer to that one. A request waits for that time rather than cost its host another connection.
 type Pool struct {
 	limit          *ConnLimit
 	Dial           func(ctx context.Context, network, addr string) (net.Conn, error) // opens a connection; a net.Dialer's by default
@@ -174,6 +176,7 @@
 	idle           map[Target][]*hostConn // the one used most recently is last
 	Opened         atomic.Int64           // connections opened
 	Evicted        atomic.Int64           // idle connections closed so that others could have their slot
+	Unsolicited    atomic.Int64           // times that a host sent something behind its answer
 }
 
 // NewPool returns a Pool whose connections take slots of limit. connectTimeout is the time for opening a connection;
@@ -208,7 +211,12 @@
 		x.OnDone(OutcomeWithdrawn)
 		return
 	}
-	for c := p.takeIdle(target); c != nil; c = p.takeIdle(target) {
+	for c, wait := p.takeIdle(target); c != nil; c, wait = p.takeIdle(target) {
+		if wait > 0 {
+			x.SlotWait += wait
+			time.AfterFunc(wait, func() { p.startOn(c, x) })
+			return
+		}
 		if c.send(x) {
 			return
 		}
@@ -216,17 +224,45 @@
 	go p.dial(target, x)
 }
 
-// takeIdle removes and returns the idle connection to a host that was used most recently, or nil if there is none.
-func (p *Pool) takeIdle(target Target) *hostConn {
+// startOn begins an exchange on a connection that was taken for it some time ago.
+func (p *Pool) startOn(c *hostConn, x *Exchange) {
+	switch {
+	case !x.isWanted() || !x.setStop(nil):
+		p.giveBack(c)
+		x.OnDone(OutcomeWithdrawn)
+	case !time.Now().Before(x.Deadline):
+		p.giveBack(c)
+		x.OnDone(OutcomeNoSlot)
+	case !c.send(x):
+		p.Start(c.target, x)
+	}
+}
+
+// giveBack makes a connection that was taken, and not used, available again, unless it has been closed meanwhile.
+func (p *Pool) giveBack(c *hostConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.dead {
+		p.putIdle(c)
+	}
+}
+
+// takeIdle removes and returns an idle connection to a host, and how long to wait until it may be used: of those that
+// may be used at once the one used most recently, else the one with the shortest wait. It returns nil if there is none.
+func (p *Pool) takeIdle(target Target) (c *hostConn, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[target]
+	idle, now := p.idle[target], time.Now()
 	if len(idle) == 0 {
-		return nil
+		return nil, 0
+	}
+	i := len(idle) - 1
+	for i > 0 && now.Sub(idle[i].idleSince) < reuseDelay {
+		i--
 	}
-	c := idle[len(idle)-1]
-	p.setIdle(target, idle[:len(idle)-1])
-	return c
+	c = idle[i]
+	p.setIdle(target, slices.Delete(idle, i, i+1))
+	return c, max(0, reuseDelay-now.Sub(c.idleSince))
 }
 
 // putIdle makes a connection available for the next exchange, until its idle time-out.
@@ -289,9 +325,12 @@
 
 // CloseIdleTo closes the idle connections to a host, which gets no further messages.
 func (p *Pool) CloseIdleTo(target Target) {
-	for c := p.takeIdle(target); c != nil; c = p.takeIdle(target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[target] {
 		c.conn.Close()
 	}
+	delete(p.idle, target) // a closed connection must not be taken before its goroutine notices the close
 }
 
 // CloseAllIdle closes all connections without an exchange.
@@ -303,7 +342,7 @@
 			c.conn.Close()
 		}
 	}
-	p.idle = map[Target][]*hostConn{} // a closed connection must not be taken before its goroutine notices the close
+	p.idle = map[Target][]*hostConn{} // see CloseIdleTo
 }
 
 // dial opens a connection for an exchange and serves it until it is closed.
@@ -316,7 +355,7 @@
 	}
 	waitStart := time.Now()
 	acquired := p.limit.Acquire(ctx)
-	x.SlotWait = time.Since(waitStart)
+	x.SlotWait += time.Since(waitStart)
 	if !acquired {
 		if x.setStop(nil) {
 			x.OnDone(OutcomeNoSlot)
@@ -412,6 +451,9 @@
 			continue
 		}
 		if x == nil {
+			if err == nil {
+				c.pool.Unsolicited.Add(1)
+			}
 			return
 		}
 		keepAlive := false
@@ -420,6 +462,9 @@
 		}
 		fullyWritten := c.checkFullyWritten()
 		outcome := x.finish(err, fullyWritten)
+		if outcome == OutcomeAnswered && c.reader.Buffered() > 0 {
+			c.pool.Unsolicited.Add(1)
+		}
 		if keepAlive = keepAlive && fullyWritten && outcome == OutcomeAnswered && c.reader.Buffered() == 0; keepAlive {
 			c.clearExchange()
 			c.pool.putIdle(c)
--- /dev/null
+++ b/internal/transport/second_answer_test.go
@@ -0,0 +1,106 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A host's second answer to a request must not be read as the answer to the next one, which may be sent at any moment after the first answer.
+func TestSecondAnswerCrossesNextRequest(t *testing.T) {
+	const requests = 40
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go serveAnswersTwice(ln, 8*time.Millisecond, 3*time.Millisecond)
+	pool := NewPool(NewConnLimit(100), testTimeout, 2*testTimeout)
+	for i := range requests {
+		request, answer, done := fmt.Sprint("request ", i), "", make(chan Outcome, 1)
+		pool.Start(Target{Addr: ln.Addr().String()}, &Exchange{
+			BuildMessage: func() net.Buffers { return net.Buffers{[]byte(request + "\n")} },
+			Deadline:     time.Now().Add(testTimeout),
+			ReadResponse: func(r *bufio.Reader) (bool, error) {
+				text, err := r.ReadString('\n')
+				answer = strings.TrimSpace(text)
+				return true, err
+			},
+			OnDone: func(outcome Outcome) { done <- outcome },
+		})
+		if outcome := <-done; outcome != OutcomeAnswered || answer != request {
+			t.Errorf("%s: %s, %q", request, outcomeNames[outcome], answer)
+		}
+		time.Sleep(time.Duration(i%10) * time.Millisecond)
+	}
+}
+
+// serveAnswersTwice answers each line with itself after a delay, and again after another one.
+func serveAnswersTwice(ln net.Listener, delay, secondDelay time.Duration) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			for line, err := r.ReadString('\n'); err == nil; line, err = r.ReadString('\n') {
+				time.Sleep(delay)
+				fmt.Fprint(conn, line)
+				time.AfterFunc(secondDelay, func() { fmt.Fprint(conn, line) })
+			}
+		}()
+	}
+}
+
+// What waits for its connection to be used again is sent on that one, which costs its host no other; if it is cancelled meanwhile or its time
+// passes, the connection is kept, and its host is not blamed.
+func TestWaitForReuse(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go serveAnswersTwice(ln, 0, time.Hour)
+	limit := NewConnLimit(100)
+	pool, done := NewPool(limit, testTimeout, 2*testTimeout), make(chan Outcome, 1)
+	start := func(deadline time.Duration) *Exchange {
+		x := &Exchange{
+			BuildMessage: func() net.Buffers { return net.Buffers{[]byte("line\n")} },
+			Deadline:     time.Now().Add(deadline),
+			ReadResponse: func(r *bufio.Reader) (bool, error) { _, err := r.ReadString('\n'); return true, err },
+			OnDone:       func(outcome Outcome) { done <- outcome },
+		}
+		pool.Start(Target{Addr: ln.Addr().String()}, x)
+		return x
+	}
+	start(testTimeout)
+	<-done
+	cancelled := start(testTimeout)
+	cancelled.Cancel()
+	if outcome := <-done; outcome != OutcomeWithdrawn {
+		t.Error("cancelled:", outcomeNames[outcome])
+	}
+	start(time.Millisecond)
+	if outcome := <-done; outcome != OutcomeNoSlot {
+		t.Error("too late:", outcomeNames[outcome])
+	}
+	for range 5 {
+		start(testTimeout)
+		if outcome := <-done; outcome != OutcomeAnswered {
+			t.Error("in time:", outcomeNames[outcome])
+		}
+	}
+	if opened := pool.Opened.Load(); opened != 1 {
+		t.Error("connections opened:", opened)
+	}
+	pool.CloseAllIdle()
+	waitUntil(func() bool { return limit.InUse() == 0 })
+	if limit.InUse() != 0 {
+		t.Error("slots in use at the end:", limit.InUse())
+	}
+}
