Logs say why transactions are rejected, and how far a start or an end has come

The start and the opening of the peers' socket have a line each now, the end says its signal and what is open before and after it, and the line on rejections names the last one's reason with its figures. Expected log lines of three Examples follow; decisions unchanged.

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	slog.SetDefault(slog.With("gateway", cfg.Name))
+	slog.Info("gateway starting", "pid", os.Getpid(), "discovery", cfg.Discovery, "peers", len(cfg.Peers))
 	seed, err := strconv.ParseUint(cfg.Seed, 16, 64)
 	if err != nil {
 		return fmt.Errorf("seed: %w", err)
@@ -163,16 +164,18 @@
 	ended := make(chan bool)
 	defer close(ended)
 	go reloadOnSignal(signals.reload, ended, path, current, dispatcher)
-	for terminated := false; !terminated; {
+	var terminated os.Signal
+	for terminated == nil {
 		select {
-		case <-signals.terminate:
-			terminated = true
+		case terminated = <-signals.terminate:
 		case <-signals.printCounters:
 			fmt.Fprint(out, dispatcher.CountersText())
 		}
 	}
-	slog.Info("gateway shutting down")
+	began := time.Now()
+	slog.Info("gateway shutting down", "signal", terminated, "open_transactions", dispatcher.Counters.OpenTransactions.Load())
 	dispatcher.Close()
+	slog.Info("gateway ended", "after", time.Since(began), "open_transactions", dispatcher.Counters.OpenTransactions.Load())
 	fmt.Fprint(out, dispatcher.CountersText())
 	return nil
 }
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -97,6 +97,7 @@
 	d.mu.Lock()
 	d.peers = network
 	d.mu.Unlock()
+	slog.Info("receiving peer messages", "peers", len(network.otherAddrs))
 	go network.socket.Serve(config.MaxPeerMessageBytes, d.datagramReceived)
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -919,9 +919,14 @@
 //
 // Reports of low in-flight counts must not let in a whole burst at once, so little more is admitted than recently.
 func (b *Balancer) pickAdmitted(t *tx) *host {
+	b.lastRejection = rejection{reason: rejectedWithoutHost, profile: t.profileConfig.Name}
 	if b.judgesByZone() {
 		h := b.chooseByZone(t)
-		return ternary(h != nil && !b.isCold(h) && b.shedsForCongestion(t, h.group), nil, h)
+		if h != nil && !b.isCold(h) && b.shedsForCongestion(t, h.group) {
+			b.lastRejection.reason, b.lastRejection.host = rejectedForCongestion, h.ID
+			return nil
+		}
+		return h
 	}
 	maxTime := b.admissionThreshold(t.profile)
 	h, expectedTime := b.chooseHost(t)
@@ -935,6 +940,7 @@
 	if h != nil && h.kindStats.concurrencyLimit() > 0 {
 		if expectedTime = 0; b.random.uniform()*b.recentArrivals >
 			maxAdmissionGrowthFactor*b.recentAdmitted+alwaysAdmittedTransactions {
+			b.lastRejection.reason = rejectedByAdmissionRate
 			return nil
 		}
 		b.recentAdmitted++
@@ -945,6 +951,8 @@
 	}
 	if h.ownInFlight > 0 || b.now-min(max(h.serviceTimeRatioAt, h.reportedInFlightAt), b.lastAnsweredAt[t.profile]) <
 		observationTTL || !b.randomlyElected() {
+		b.lastRejection = rejection{rejectedByExpectedTime, t.profileConfig.Name, h.ID, h.inFlight(),
+			time.Duration(expectedTime), time.Duration(maxTime)}
 		return nil
 	}
 	if b.probesOnly() { // one such attempt at a time
@@ -1000,11 +1008,17 @@
 	case h != nil:
 		b.sendHop(t, h)
 	default:
-		b.shedThisSecond++
-		b.finishTransaction(t)
+		b.shed(t)
 	}
 }
 
+// shed rejects a transaction on arrival.
+func (b *Balancer) shed(t *tx) {
+	b.shedThisSecond++
+	b.lastShed = b.lastRejection
+	b.finishTransaction(t)
+}
+
 // sendHop sends a hop of a transaction to a host and updates the counts of both.
 func (b *Balancer) sendHop(t *tx, h *host) {
 	if b.isCold(h) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -534,7 +534,7 @@
 	}
 	gw.printLines()
 	// Output:
-	// 7662 log: 3 transactions rejected on arrival in the last second
+	// 7662 log: 3 transactions rejected on arrival in the last second, the last: profile read, host 1 with 0.0 hops in flight: expected time 151ms over threshold 144.7ms
 }
 
 // startWithInFlightReports starts one of 300 gateways, one for each client process, where responses report the hops in
@@ -765,7 +765,7 @@
 	// 1060 probe 2
 	// 1060 tx 3 hop to 2 for 1000
 	// 1060 tx 4 hop to 2 for 1000
-	// 1662 log: 1 transactions rejected on arrival in the last second
+	// 1662 log: 1 transactions rejected on arrival in the last second, the last: profile order: no usable host
 	// 1720 probe 1
 	// 1720 tx 5 hop to 2 for 155
 	// 1720 probe 2
@@ -1034,13 +1034,13 @@
 	// latency 80ms second 9 hops: map[1:4 2:3 3:3]
 	// latency 80ms second 10 hops: map[1:3 2:3 3:4]
 	// latency 80ms second 11 hops: map[1:4 2:2 3:4]
-	// 4395 log: 1 transactions rejected on arrival in the last second
-	// 5395 log: 7 transactions rejected on arrival in the last second
-	// 6395 log: 9 transactions rejected on arrival in the last second
-	// 7395 log: 10 transactions rejected on arrival in the last second
-	// 8395 log: 10 transactions rejected on arrival in the last second
-	// 9395 log: 10 transactions rejected on arrival in the last second
-	// 10395 log: 5 transactions rejected on arrival in the last second
+	// 4395 log: 1 transactions rejected on arrival in the last second, the last: profile read: zone of host 1 congested
+	// 5395 log: 7 transactions rejected on arrival in the last second, the last: profile read: zone of host 2 congested
+	// 6395 log: 9 transactions rejected on arrival in the last second, the last: profile read: zone of host 3 congested
+	// 7395 log: 10 transactions rejected on arrival in the last second, the last: profile read: zone of host 2 congested
+	// 8395 log: 10 transactions rejected on arrival in the last second, the last: profile read: zone of host 3 congested
+	// 9395 log: 10 transactions rejected on arrival in the last second, the last: profile read: zone of host 1 congested
+	// 10395 log: 5 transactions rejected on arrival in the last second, the last: profile read: zone of host 3 congested
 	// 19000 tx 1000 hop to 1 for 1000
 	// 19000 tx 1001 hop to 2 for 1000
 	// 19480 tx 1000 call off hop 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,6 +46,8 @@
 	recentArrivals      float64         // transactions received recently, decayed each second
 	recentAdmitted      float64         // those of them that were sent to a host
 	shedThisSecond      int             // transactions rejected on arrival in the current second
+	lastRejection       rejection       // why the last transaction for which no host was picked got none
+	lastShed            rejection       // why the last transaction was rejected on arrival
 	arrivalsThisSecond  float64         // transactions received in the current second
 	arrivalRate         movingAverage   // transactions per second
 	linkSuspectedAt     time.Duration   // when a new connection last failed, or a hop on an idle one had no answer
@@ -237,7 +239,8 @@
 // logShed logs how many transactions were rejected on arrival within the last second.
 func (b *Balancer) logShed() {
 	if b.shedThisSecond > 0 {
-		b.executor.Log(fmt.Sprintf("%d transactions rejected on arrival in the last second", b.shedThisSecond))
+		b.executor.Log(fmt.Sprintf("%d transactions rejected on arrival in the last second, the last: %v",
+			b.shedThisSecond, b.lastShed))
 	}
 	b.shedThisSecond = 0
 }
@@ -362,8 +365,8 @@
 	switch t := pending.tx; {
 	case !pending.txWaits || t.done:
 	case response.Host == 0:
-		b.shedThisSecond++
-		b.finishTransaction(t)
+		b.lastRejection = rejection{reason: rejectedByCoordinator, profile: t.profileConfig.Name}
+		b.shed(t)
 	case h != nil && t.mayRunOn(h, b.now) && b.withinColdBudget(h, t.profile):
 		if !b.picksFor(h.group) { // where it does, its own counts are better
 			h.setPeerInFlight(from, max(0, response.InFlight-h.ownInFlight), b.now)
