--- a/cmd/spanmux/process_test.go
+++ b/cmd/spanmux/process_test.go
@@ -84,15 +84,23 @@
 // freeAddressCalls lets each call of freeAddress use another loopback IP.
 var freeAddressCalls atomic.Uint32
 
-// freeAddress returns an address that nobody listens on. Each has a loopback IP of its own: a port of 127.0.0.1 could become that of an
-// outgoing connection before the caller listens on it ("address already in use"), as thirty processes that call discovery open thousands.
-func freeAddress() string {
+// listenOnFreeAddress listens on an address of its own. Each has a loopback IP of its own: a port of 127.0.0.1 could become that of an
+// outgoing connection before a caller of freeAddress listens on it ("address already in use"), as thirty processes that call discovery open
+// thousands.
+func listenOnFreeAddress() net.Listener {
 	process, call := os.Getpid(), freeAddressCalls.Add(1)
 	ip := net.IPv4(127, byte(1+process>>8%250), byte(process), byte(1+call%250))
 	listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		panic(err)
 	}
+	return listener
+}
+
+// freeAddress returns an address that nobody listens on. It is for processes: one that is started just then may hold a copy of the socket for
+// a moment, so that this process could not listen there at once.
+func freeAddress() string {
+	listener := listenOnFreeAddress()
 	defer listener.Close()
 	return listener.Addr().String()
 }
--- a/cmd/spanmux/soak_gateway_test.go
+++ b/cmd/spanmux/soak_gateway_test.go
@@ -74,6 +74,7 @@
 	defer log.Close()
 	fmt.Fprintf(log, "== process %d starts at %v\n", process, g.record.now())
 	command.Stdout, command.Stderr = log, log
+	command.Env = append(command.Env, "GORACE=atexit_sleep_ms=0") // the race detector's runtime sleeps for a second at the end otherwise
 	record := &processRecord{gateway: g.index, process: process, startedAt: g.record.now()}
 	if err := command.Start(); err != nil {
 		panic(err)
@@ -161,6 +162,10 @@
 		g.reload(command, false, true)
 	case printCounters:
 		command.Process.Signal(syscall.SIGUSR1)
+	case pause:
+		command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(between(g.random, time.Millisecond, soakLongestPause))
+		command.Process.Signal(syscall.SIGCONT)
 	case terminate:
 		g.terminate(command)
 	}
--- a/cmd/spanmux/soak_judge_test.go
+++ b/cmd/spanmux/soak_judge_test.go
@@ -218,6 +218,9 @@
 			if process.movedAt > 0 {
 				counts = max(counts, process.movedAt+pushAfterMove)
 			}
+			if silentAt := j.scenario.silentAt; silentAt > process.startedAt && step.at >= silentAt { // its watch had fallen silent
+				counts = max(counts, silentAt+listPropagation)
+			}
 		}
 		if !told || counts < at {
 			at, told = counts, true
