--- /dev/null
+++ b/internal/transport/exchange.go
@@ -0,0 +1,172 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Outcome is how an exchange ended.
+type Outcome int
+
+const (
+	OutcomeAnswered      Outcome = iota // ReadResponse succeeded
+	OutcomeConnectFailed                // no connection could be opened
+	OutcomeNotWritten                   // the connection broke before the last byte of the message was written
+	OutcomeBroken                       // the connection broke after that, or the response was malformed
+	OutcomeTimedOut                     // no complete response by the deadline
+	OutcomeCancelled                    // cancelled after the last byte was written
+	OutcomeNoSlot                       // no connection came free for it in time: nothing has run, and the host was not contacted
+	OutcomeWithdrawn                    // cancelled, or no longer wanted, before the last byte was written: nothing has run
+)
+
+// Exchange is one message to a host and its response. OnDone is called exactly once.
+type Exchange struct {
+	BuildMessage func() net.Buffers // called when the message is written, so that it can contain the time that is left
+	Deadline     time.Time
+	// StillWanted, if not nil, reports whether the message is still to be sent. It is called at the start and again
+	// when a new connection is open, since that may have taken long.
+	StillWanted  func() bool
+	ReadResponse func(*bufio.Reader) (keepAlive bool, err error) // keepAlive: the connection can be used again
+	OnWritten    func()                                          // called when the last byte of the message has been written; may be nil without StreamBody
+	OnDone       func(Outcome)                                   // called when the exchange has ended
+	// StreamBody is set if BuildMessage returns only the beginning of the message. It is called when that is written,
+	// with the writer for the rest, and returns without blocking; false ends the exchange. The time for the response
+	// is then an argument of BodyWriter.WriteLast.
+	StreamBody func(*BodyWriter) bool
+	// SlotWait is the time that the exchange spent waiting for a slot of the connection limit or until a connection
+	// may be used again, for which its host is not responsible.
+	SlotWait time.Duration
+
+	mu             sync.Mutex
+	cancelled      bool
+	lastWriteBegun bool      // the last byte has been written or is about to be
+	stop           func()    // interrupts the exchange; nil before its start and after its end
+	hostConn       *hostConn // set when the message is written
+}
+
+// SetReadTimeout sets the time for further reads of a response whose head has been read.
+func (x *Exchange) SetReadTimeout(timeout time.Duration) {
+	x.hostConn.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// FullyWritten reports whether the last byte of the message has been written. It is called while the response is read;
+// if it returns false the rest of the message is never written.
+func (x *Exchange) FullyWritten() bool { return x.hostConn.checkFullyWritten() }
+
+// BodyWriter writes the rest of a message that BuildMessage has begun.
+type BodyWriter struct {
+	hostConn *hostConn
+	exchange *Exchange
+}
+
+// ErrUnwanted is returned by a write that ended early because the message is no longer wanted.
+var ErrUnwanted = errors.New("message no longer wanted")
+
+// Write writes a further piece, unless stillWanted returns false before it is written: a host may accept nothing for a
+// long time. The host runs nothing before it has the last piece.
+func (w *BodyWriter) Write(piece net.Buffers, stillWanted func() bool) error {
+	for deadline := time.Now().Add(streamWriteTimeout); ; {
+		w.hostConn.conn.SetWriteDeadline(time.Now().Add(stillWantedPollInterval))
+		_, err := piece.WriteTo(w.hostConn.conn) // removes from piece what has been written
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
+			if stillWanted() {
+				continue
+			}
+			return ErrUnwanted
+		}
+		if err != nil {
+			w.hostConn.conn.Close()
+		}
+		return err
+	}
+}
+
+// Abort closes the connection instead of writing the last piece, so that nothing has run.
+func (w *BodyWriter) Abort() { w.hostConn.conn.Close() }
+
+// WriteLast writes the last piece; the response must arrive within responseTimeout from then on. It holds the
+// connection's lock while it writes, so that a host which closes the connection as soon as it has the whole message is
+// not taken for one that never had it.
+func (w *BodyWriter) WriteLast(piece net.Buffers, responseTimeout time.Duration, stillWanted func() bool) error {
+	w.hostConn.mu.Lock()
+	defer w.hostConn.mu.Unlock()
+	if w.hostConn.exchange != w.exchange || !w.exchange.beginLastWrite() {
+		return net.ErrClosed
+	}
+	err := w.Write(piece, stillWanted)
+	if errors.Is(err, ErrUnwanted) {
+		w.exchange.mu.Lock()
+		w.exchange.lastWriteBegun = false // the exchange may still be withdrawn
+		w.exchange.mu.Unlock()
+	}
+	if w.hostConn.fullyWritten = err == nil; w.hostConn.fullyWritten {
+		w.exchange.Deadline = time.Now().Add(responseTimeout)
+		w.hostConn.conn.SetReadDeadline(w.exchange.Deadline)
+		w.exchange.OnWritten()
+	}
+	return err
+}
+
+// Cancel ends the exchange: it closes its connection, or stops the attempt to open one.
+func (x *Exchange) Cancel() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cancelled = true
+	if x.stop != nil {
+		x.stop()
+	}
+}
+
+// CancelIfUnwritten ends the exchange unless the last byte of the message has been written or is about to be. A host
+// runs nothing before it has that, so the exchange ends with OutcomeWithdrawn.
+func (x *Exchange) CancelIfUnwritten() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cancelled = x.cancelled || !x.lastWriteBegun; !x.lastWriteBegun && x.stop != nil {
+		x.stop()
+	}
+}
+
+// beginLastWrite records that the last byte of the message is about to be written. It returns false if the exchange was
+// cancelled before.
+func (x *Exchange) beginLastWrite() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lastWriteBegun = !x.cancelled
+	return x.lastWriteBegun
+}
+
+// isWanted reports whether the message is still to be sent.
+func (x *Exchange) isWanted() bool { return x.StillWanted == nil || x.StillWanted() }
+
+// setStop sets the function that interrupts the exchange. It returns false if the exchange is already cancelled.
+func (x *Exchange) setStop(stop func()) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stop = stop
+	return !x.cancelled
+}
+
+// finish returns how the exchange ended, from the result of reading the response. It can't be cancelled from then on.
+func (x *Exchange) finish(err error, fullyWritten bool) Outcome {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stop = nil
+	switch {
+	case err == nil:
+		return OutcomeAnswered
+	case x.cancelled && !fullyWritten:
+		return OutcomeWithdrawn
+	case x.cancelled:
+		return OutcomeCancelled
+	case !fullyWritten:
+		return OutcomeNotWritten
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return OutcomeTimedOut
+	}
+	return OutcomeBroken
+}
