--- a/cmd/spanmux/idleclients_test.go
+++ b/cmd/spanmux/idleclients_test.go
@@ -163,7 +163,16 @@
 			defer os.RemoveAll(folder)
 			files = []*os.File{socket}
 		}
-		p := startProcess(dir, 1, int(socketLimit), 1, map[string]any{"listen": addr, "control": admin, "discovery": discovery}, files...)
+		p := processCommand(dir, 1, int(socketLimit), 1, map[string]any{"listen": addr, "control": admin, "discovery": discovery}, files...)
+		log, err := os.CreateTemp(dir, "log")
+		if err != nil {
+			panic(err)
+		}
+		defer log.Close()
+		p.Stderr = log
+		if err := p.Start(); err != nil {
+			panic(err)
+		}
 		up := eventually(func() bool { return adminAnswers(admin, "ready", "no") })
 		idle := startIdleClients(addr, 3*int(socketLimit)/2)
 		maxOpen := int64(0)
@@ -210,6 +219,10 @@
 			}()
 		}
 		senders.Wait()
+		if served.Load() < 60 { // the log says why requests were rejected
+			text, _ := os.ReadFile(log.Name())
+			os.Stderr.Write(text)
+		}
 		var metrics struct{ Ejected int }
 		json.Unmarshal([]byte(adminRequest("GET", admin, "metrics")), &metrics)
 		fmt.Println("served, of 60:", served.Load(), "admin responds:", adminAnswers(admin, "ready", "yes"), "hosts ejected:", metrics.Ejected)
