--- a/cmd/spanmux/idleclients_test.go
+++ b/cmd/spanmux/idleclients_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,51 +15,6 @@
 	"time"
 )
 
-// startProcess starts the process of processCommand.
-func startProcess(dir string, number, sockets, gateways int, overrides map[string]any, files ...*os.File) *exec.Cmd {
-	p := processCommand(dir, number, sockets, gateways, overrides, files...)
-	if err := p.Start(); err != nil {
-		panic(err)
-	}
-	return p
-}
-
-// processCommand returns the program as a process of its own, with a default configuration and overrides of its top-level keys.
-// number sets its name, its seed and its index among the gateways. The first of files is its listener.
-func processCommand(dir string, number, sockets, gateways int, overrides map[string]any, files ...*os.File) *exec.Cmd {
-	config := map[string]any{"name": fmt.Sprint(number), "listen": "127.0.0.1:1", "seed": fmt.Sprintf("%x", 7+number),
-		"limits": map[string]any{"sockets": sockets, "memory_mb": 64},
-		"settings": json.RawMessage(fmt.Sprintf(`{"balancers":%d,"me":%d,"dcs":["a"],"myZone":"a","discovery":"subscribe",`+
-			`"obligations":{"askWithin":10000000,"drainGrace":400000},"limits":{"mostHops":2,"connectTimeout":300000,"connIdle":4000000},"profiles":[`+
-			`{"name":"read","effect":"idempotent","serviceGoal":1000000,"hardLimit":2000000,"revenue":1}]}`, gateways, number%gateways))}
-	for key, value := range overrides {
-		config[key] = value
-	}
-	text, err := json.Marshal(config)
-	path := filepath.Join(dir, fmt.Sprint("config", number))
-	if err != nil || os.WriteFile(path, text, 0o600) != nil {
-		panic("cannot write the configuration file")
-	}
-	p := exec.Command(os.Args[0])
-	p.Env = append(os.Environ(), "SPANMUX_TEST_RUN=1", "BALANCER_CONFIG="+path, "TMPDIR="+dir)
-	if p.ExtraFiles = files; len(files) > 0 {
-		p.Env = append(p.Env, "BALANCER_ACCEPT_FD=3")
-	}
-	return p
-}
-
-// openSockets returns the number of sockets that a process has open.
-func openSockets(p *exec.Cmd) (n int) {
-	dir := fmt.Sprintf("/proc/%d/fd", p.Process.Pid)
-	names, _ := os.ReadDir(dir)
-	for _, name := range names {
-		if target, _ := os.Readlink(filepath.Join(dir, name.Name())); strings.HasPrefix(target, "socket:") {
-			n++
-		}
-	}
-	return n
-}
-
 // idleClients keep a gateway full of idle connections until stopped: each connects again when its connection is closed. Every other one sends
 // nothing. The others keep their connection after one response: to a transaction at first, later to a readiness check.
 type idleClients struct {
--- a/cmd/spanmux/process_test.go
+++ b/cmd/spanmux/process_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,137 +15,9 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 )
 
-// restrictSyscalls has the kernel refuse this process the system calls that a platform may forbid. It is nil on platforms without the filter.
-var restrictSyscalls func()
-
-// TestMain lets tests start the test binary as the gateway program, in a process of its own.
-func TestMain(m *testing.M) {
-	if os.Getenv("SPANMUX_TEST_RUN") != "" {
-		os.Args = os.Args[:1]
-		if os.Getenv("SPANMUX_TEST_REFUSE") != "" {
-			restrictSyscalls()
-		}
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
-
-// startGateway starts the program on an inherited listening socket, with an admin server of its own, and waits until it is ready.
-// number names its files in dir.
-func startGateway(listener *os.File, dir string, number int, discovery, peer string) (p *exec.Cmd, admin string) {
-	return startGatewayWithLimit(nil, listener, dir, number, discovery, peer, 2*time.Second)
-}
-
-// startGatewayWithLog is startGateway with the gateway's log written to a file.
-func startGatewayWithLog(log, listener *os.File, dir string, number int, discovery, peer string) (p *exec.Cmd, admin string) {
-	return startGatewayWithLimit(log, listener, dir, number, discovery, peer, 2*time.Second)
-}
-
-// startGatewayWithLimit is startGatewayWithLog with a given hard limit for the profile read.
-func startGatewayWithLimit(log, listener *os.File, dir string, number int, discovery, peer string, hardLimit time.Duration) (p *exec.Cmd, admin string) {
-	admin = freeAddress()
-	path := filepath.Join(dir, fmt.Sprint(number))
-	text, err := json.Marshal(map[string]any{"listen": "127.0.0.1:1", "control": admin, "discovery": discovery, "seed": "7",
-		"peer_listen": peer, "peers": []string{peer}, "limits": map[string]any{"sockets": 400, "memory_mb": 32},
-		"settings": json.RawMessage(`{"balancers":1,"dcs":["a"],"myZone":"a","discovery":"subscribe",` +
-			`"obligations":{"askWithin":1000000},"limits":{"mostHops":2,"mayTell":true},"profiles":[` +
-			`{"name":"read","effect":"idempotent","serviceGoal":2000000,"hardLimit":` + fmt.Sprint(hardLimit.Microseconds()) + `,"revenue":1},` +
-			`{"name":"write","effect":"deduplicated","group":"all","window":2000000,"serviceGoal":2000000,"hardLimit":2000000,` +
-			`"revenue":1}]}`)})
-	if err != nil || os.WriteFile(path, text, 0o600) != nil {
-		panic("cannot write the configuration file")
-	}
-	p = exec.Command(os.Args[0])
-	p.Env = append(os.Environ(), "SPANMUX_TEST_RUN=1", "BALANCER_CONFIG="+path, "BALANCER_ACCEPT_FD=3", "TMPDIR="+dir)
-	p.ExtraFiles = []*os.File{listener}
-	if log != nil {
-		p.Stderr = log
-	}
-	if p.Stdout, err = os.Create(path + ".counters"); err != nil {
-		panic(err)
-	}
-	if err := p.Start(); err != nil {
-		panic(err)
-	}
-	for end := time.Now().Add(5 * time.Second); adminRequest("GET", admin, "ready") != "yes"; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			panic("gateway is not ready after 5 s")
-		}
-	}
-	return p, admin
-}
-
-// freeAddressCalls lets each call of freeAddress use another loopback IP.
-var freeAddressCalls atomic.Uint32
-
-// listenOnFreeAddress listens on an address of its own. Each has a loopback IP of its own: a port of 127.0.0.1 could become that of an
-// outgoing connection before a caller of freeAddress listens on it ("address already in use"), as thirty processes that call discovery open
-// thousands.
-func listenOnFreeAddress() net.Listener {
-	process, call := os.Getpid(), freeAddressCalls.Add(1)
-	ip := net.IPv4(127, byte(1+process>>8%250), byte(process), byte(1+call%250))
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		panic(err)
-	}
-	return listener
-}
-
-// freeAddress returns an address that nobody listens on. It is for processes: one that is started just then may hold a copy of the socket for
-// a moment, so that this process could not listen there at once.
-func freeAddress() string {
-	listener := listenOnFreeAddress()
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
-// dial opens a connection as a client.
-func dial(addr string) net.Conn {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		panic(err)
-	}
-	return conn
-}
-
-// adminRequest sends a request to the admin API and returns the body of the response.
-func adminRequest(method, admin, path string) string {
-	request, err := http.NewRequest(method, "http://"+admin+"/-/"+path, nil)
-	if err != nil {
-		return err.Error()
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "no answer"
-	}
-	defer response.Body.Close()
-	text, _ := io.ReadAll(response.Body)
-	return strings.TrimSpace(string(text))
-}
-
-// counterValue returns a counter from the output of a gateway that has ended.
-func counterValue(dir string, number int, name string) string {
-	text, _ := os.ReadFile(filepath.Join(dir, fmt.Sprint(number, ".counters")))
-	_, after, _ := strings.Cut(string(text), "spanmux_"+name+" ")
-	value, _, _ := strings.Cut(after, "\n")
-	return value
-}
-
-// eventually waits up to ten seconds for a condition and reports whether it came true.
-func eventually(condition func() bool) bool {
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if condition() {
-			return true
-		}
-	}
-	return false
-}
-
 // Two processes share an inherited listening socket. The second replaces the first while clients send requests all the time, on kept and on
 // new connections: none is refused, closed without a response or left unread, and the second gets the address for peer messages.
 //
@@ -426,34 +297,6 @@
 	// second ended: <nil>
 }
 
-// startDiscovery starts a discovery server that lists a number of hosts with the same handler, and never reports a change.
-func startDiscovery(hosts int, serve http.HandlerFunc) string {
-	var targets []string
-	for i := range hosts {
-		targets = append(targets, fmt.Sprintf(`{"uid":"h%d","endpoint":%q,"az":"a","state":"in_service"}`, i,
-			strings.TrimPrefix(httptest.NewServer(serve).URL, "http://")))
-	}
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Has("index") {
-			<-r.Context().Done()
-			return
-		}
-		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[%s]}`, strings.Join(targets, ","))
-	}))
-	return strings.TrimPrefix(discovery.URL, "http://")
-}
-
-// sharedListener opens a listening socket for processes to inherit, and creates a folder that they share.
-func sharedListener() (addr string, socket *os.File, dir string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	socket, _ = listener.(*net.TCPListener).File()
-	dir, _ = os.MkdirTemp("", "spanmux")
-	return listener.Addr().String(), socket, dir
-}
-
 // Slow requests are at every stage as their process is replaced: nothing received, within the head, within a buffered body, between chunks and
 // within one. The new process reads the rest, none is rejected, and the first ends without waiting for them. A request whose body is streamed
 // to its host is finished by the first.
--- a/cmd/spanmux/signals_test.go
+++ b/cmd/spanmux/signals_test.go
@@ -4,53 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// endTimeout is when a platform may kill a process after SIGTERM: the hard limit of processCommand's settings and 0.7 s.
-const endTimeout = 2700 * time.Millisecond
-
-// runningProcess is a started process and how it ends.
-type runningProcess struct {
-	*exec.Cmd
-	ended chan error // gets the result of Wait
-}
-
-// startCommand starts a process.
-func startCommand(t *testing.T, p *exec.Cmd) *runningProcess {
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	running := &runningProcess{p, make(chan error, 1)}
-	go func() { running.ended <- p.Wait() }()
-	t.Cleanup(func() { p.Process.Kill() })
-	return running
-}
-
-// becomesReady reports whether the process answers at addr that it is ready. It does not if it ends before.
-func (p *runningProcess) becomesReady(addr string) bool {
-	eventually(func() bool { return len(p.ended) > 0 || answersReady(addr) })
-	return len(p.ended) == 0 && answersReady(addr)
-}
-
-// checkEndsAfterTerm sends SIGTERM, and fails the test unless the process ends in order and in time.
-func (p *runningProcess) checkEndsAfterTerm(t *testing.T) {
-	t.Helper()
-	p.Process.Signal(syscall.SIGTERM)
-	select {
-	case err := <-p.ended:
-		if err != nil {
-			t.Error("process ended:", err)
-		}
-	case <-time.After(endTimeout):
-		t.Error("process not ended in time after SIGTERM")
-	}
-}
-
 // SIGTERM must end a process that is busy with a series of reloads. It was lost where four other signals were waiting to be handled, and the
 // process was killed with its transactions open. A reload takes long where the file holds a long host list.
 func TestTermDuringReloads(t *testing.T) {
--- a/cmd/spanmux/startup_input_test.go
+++ b/cmd/spanmux/startup_input_test.go
@@ -2,23 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
 )
 
-// hostListText returns a complete host list, in the form of discovery, with so many hosts that nothing listens at.
-func hostListText(hosts int) string {
-	entries := make([]string, hosts)
-	for i := range entries {
-		entries[i] = fmt.Sprintf(`{"uid":"s%d","endpoint":"127.0.0.1:9","az":"a","model":"m","pod_group":%d,"state":"in_service","boot_ms":0}`, i, i)
-	}
-	return `{"rev":1,"all":true,"targets":[` + strings.Join(entries, ",") + `]}`
-}
-
 // sendPeerMessages sends a valid message from one peer to another every 50 µs, until stop is closed. The receiver need not listen yet.
 func sendPeerMessages(from *net.UDPConn, to string, stop chan bool) {
 	addr, err := net.ResolveUDPAddr("udp", to)
@@ -36,17 +24,6 @@
 	}
 }
 
-// answersReady reports whether a gateway answers that it is ready.
-func answersReady(addr string) bool {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + addr + "/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // A restarted process must survive messages that its peers send while it starts: the peers know its address from before, and do not know of
 // the restart. It used to call the decision core before that was created, and ended with a nil dereference.
 func TestPeerMessagesDuringStartup(t *testing.T) {
