--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -79,13 +79,16 @@
 	}
 }
 
-// forwardLine writes what Write took, after a line on what was dropped before it.
+// forwardLine writes what Write took. Once nothing is pending, a line says how much was dropped.
 func (w *Writer) forwardLine(text []byte) {
+	w.destination.Write(text)
+	w.pendingBytes.Add(-int64(len(text)))
+	if len(w.lines) > 0 {
+		return
+	}
 	if n := w.dropped.Swap(0); n > 0 {
 		fmt.Fprintf(w.destination, "level=WARN msg=\"log lines dropped\" lines=%d\n", n)
 	}
-	w.destination.Write(text)
-	w.pendingBytes.Add(-int64(len(text)))
 }
 
 // Close writes what is pending, for up to timeout. Nothing may be written after it.
