--- a/cmd/spanmux/helpers_test.go
+++ b/cmd/spanmux/helpers_test.go
@@ -276,3 +276,16 @@
 		t.Error("process not ended in time after SIGTERM")
 	}
 }
+
+// commandWithPipe returns a process of processCommand that starts with a known host list, and whose output goes to a pipe. The caller closes
+// both ends; writer once the process has started.
+func commandWithPipe(t *testing.T, addr string) (command *exec.Cmd, reader, writer *os.File) {
+	command = processCommand(t.TempDir(), 1, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
+		"known": json.RawMessage(hostListText(10))})
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command.Stdout, command.Stderr = writer, writer
+	return command, reader, writer
+}
--- a/cmd/spanmux/log_test.go
+++ b/cmd/spanmux/log_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,17 +15,11 @@
 func TestLogReaderStuck(t *testing.T) {
 	const invalidRequests = 80
 	addr := freeAddress()
-	command := processCommand(t.TempDir(), 1, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
-		"known": json.RawMessage(hostListText(10))})
-	reader, writer, err := os.Pipe()
-	if err != nil {
-		t.Fatal(err)
-	}
+	command, reader, writer := commandWithPipe(t, addr)
 	defer reader.Close()
 	if _, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize()); err != nil {
 		t.Fatal(err)
 	}
-	command.Stdout, command.Stderr = writer, writer
 	p := startCommand(t, command)
 	writer.Close()
 	if !p.becomesReady(addr) {
--- a/cmd/spanmux/signals_test.go
+++ b/cmd/spanmux/signals_test.go
@@ -31,13 +31,7 @@
 // once that is a broken pipe, unless SIGPIPE is ignored.
 func TestLogReaderGone(t *testing.T) {
 	addr := freeAddress()
-	command := processCommand(t.TempDir(), 1, 200, 1, map[string]any{"listen": addr, "discovery": "127.0.0.1:9",
-		"known": json.RawMessage(hostListText(10))})
-	reader, writer, err := os.Pipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	command.Stdout, command.Stderr = writer, writer
+	command, reader, writer := commandWithPipe(t, addr)
 	p := startCommand(t, command)
 	writer.Close()
 	reader.Close()
--- a/internal/transport/second_answer_test.go
+++ b/internal/transport/second_answer_test.go
@@ -21,16 +21,7 @@
 	pool := NewPool(NewConnLimit(100), testTimeout, 2*testTimeout)
 	for i := range requests {
 		request, answer, done := fmt.Sprint("request ", i), "", make(chan Outcome, 1)
-		pool.Start(Target{Addr: ln.Addr().String()}, &Exchange{
-			BuildMessage: func() net.Buffers { return net.Buffers{[]byte(request + "\n")} },
-			Deadline:     time.Now().Add(testTimeout),
-			ReadResponse: func(r *bufio.Reader) (bool, error) {
-				text, err := r.ReadString('\n')
-				answer = strings.TrimSpace(text)
-				return true, err
-			},
-			OnDone: func(outcome Outcome) { done <- outcome },
-		})
+		pool.Start(Target{Addr: ln.Addr().String()}, lineExchange(request, testTimeout, &answer, done))
 		if outcome := <-done; outcome != OutcomeAnswered || answer != request {
 			t.Errorf("%s: %s, %q", request, outcomeNames[outcome], answer)
 		}
@@ -38,6 +29,22 @@
 	}
 }
 
+// lineExchange returns an exchange of one line for another, which is stored in answer unless that is nil. Its outcome goes to done.
+func lineExchange(line string, timeout time.Duration, answer *string, done chan Outcome) *Exchange {
+	return &Exchange{
+		BuildMessage: func() net.Buffers { return net.Buffers{[]byte(line + "\n")} },
+		Deadline:     time.Now().Add(timeout),
+		ReadResponse: func(r *bufio.Reader) (bool, error) {
+			text, err := r.ReadString('\n')
+			if answer != nil {
+				*answer = strings.TrimSpace(text)
+			}
+			return true, err
+		},
+		OnDone: func(outcome Outcome) { done <- outcome },
+	}
+}
+
 // serveAnswersTwice answers each line with itself after a delay, and again after another one.
 func serveAnswersTwice(ln net.Listener, delay, secondDelay time.Duration) {
 	for {
@@ -69,12 +76,7 @@
 	limit := NewConnLimit(100)
 	pool, done := NewPool(limit, testTimeout, 2*testTimeout), make(chan Outcome, 1)
 	start := func(deadline time.Duration) *Exchange {
-		x := &Exchange{
-			BuildMessage: func() net.Buffers { return net.Buffers{[]byte("line\n")} },
-			Deadline:     time.Now().Add(deadline),
-			ReadResponse: func(r *bufio.Reader) (bool, error) { _, err := r.ReadString('\n'); return true, err },
-			OnDone:       func(outcome Outcome) { done <- outcome },
-		}
+		x := lineExchange("line", deadline, nil, done)
 		pool.Start(Target{Addr: ln.Addr().String()}, x)
 		return x
 	}
@@ -123,12 +125,7 @@
 	pool, waited, began := NewPool(NewConnLimit(2*requests), testTimeout, 2*testTimeout), time.Duration(0), time.Now()
 	for range requests {
 		done := make(chan Outcome, 1)
-		x := &Exchange{
-			BuildMessage: func() net.Buffers { return net.Buffers{[]byte("line\n")} },
-			Deadline:     time.Now().Add(testTimeout),
-			ReadResponse: func(r *bufio.Reader) (bool, error) { _, err := r.ReadString('\n'); return true, err },
-			OnDone:       func(outcome Outcome) { done <- outcome },
-		}
+		x := lineExchange("line", testTimeout, nil, done)
 		pool.Start(Target{Addr: ln.Addr().String()}, x)
 		if outcome := <-done; outcome != OutcomeAnswered {
 			t.Error(outcomeNames[outcome])
