The last output has 45 ms to be written, in place of 20

Found on rereading the change, not seen: a machine that keeps the writing goroutine from its core for over 20 ms would lose the counters and the last log lines of an orderly end. 0.1 s is left between the latest end of the shutdown and the earliest kill, and is divided between the two outputs. Tests of the log, the signals and run pass.

--- a/cmd/spanmux/main.go
+++ b/cmd/spanmux/main.go
@@ -31,8 +31,8 @@
 	memoryLimitFraction = 0.75
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is small, and the memory limit bounds it.
 	gcPercent = 400
-	// outputFlushTimeout bounds the wait for the last output to be written: the platform may kill the process soon.
-	outputFlushTimeout = 20 * time.Millisecond
+	// outputFlushTimeout bounds the wait for the last output, twice: 0.1 s is left until the platform may kill the process.
+	outputFlushTimeout = 45 * time.Millisecond
 )
 
 // configFile is the content of the configuration file.
