--- a/cmd/spanmux/soak_host_test.go
+++ b/cmd/spanmux/soak_host_test.go
@@ -18,11 +18,10 @@
 
 // soakHost is a stand-in host. It has an address for each gateway, so that its records name the gateway of an attempt.
 type soakHost struct {
-	record     *soakRecord
-	index      int
-	generation int
-	phases     []hostPhase
-	listeners  [soakGateways]net.Listener
+	record    *soakRecord
+	index     int
+	phases    []hostPhase
+	listeners [soakGateways]net.Listener
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -30,8 +29,8 @@
 }
 
 // startSoakHost starts a host.
-func startSoakHost(record *soakRecord, index, generation int, phases []hostPhase) *soakHost {
-	h := &soakHost{record: record, index: index, generation: generation, phases: phases, conns: map[net.Conn]bool{}}
+func startSoakHost(record *soakRecord, index int, phases []hostPhase) *soakHost {
+	h := &soakHost{record: record, index: index, phases: phases, conns: map[net.Conn]bool{}}
 	for gateway := range h.listeners {
 		h.listeners[gateway] = listenOnFreeAddress()
 		go h.accept(h.listeners[gateway], gateway)
@@ -40,7 +39,7 @@
 }
 
 // uid returns the host's name in the list.
-func (h *soakHost) uid() string { return fmt.Sprintf("h%d-%d", h.index, h.generation) }
+func (h *soakHost) uid() string { return fmt.Sprintf("h%d", h.index) }
 
 // accept serves the connections of a gateway.
 func (h *soakHost) accept(listener net.Listener, gateway int) {
@@ -97,7 +96,7 @@
 		if _, err := reader.Peek(1); err != nil {
 			return
 		}
-		attempt := &attemptRecord{host: h.index, generation: h.generation, gateway: gateway, firstByteAt: h.record.now()}
+		attempt := &attemptRecord{host: h.index, gateway: gateway, firstByteAt: h.record.now()}
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
--- a/cmd/spanmux/soak_record_test.go
+++ b/cmd/spanmux/soak_record_test.go
@@ -28,7 +28,6 @@
 type attemptRecord struct {
 	traceID     string
 	host        int
-	generation  int // which of the hosts at this place, from 0
 	gateway     int // by the address that the connection was made to
 	firstByteAt time.Duration
 	wholeAt     time.Duration // 0 if its last byte never came
--- a/cmd/spanmux/soak_scenario_test.go
+++ b/cmd/spanmux/soak_scenario_test.go
@@ -73,7 +73,7 @@
 type listStep struct {
 	at    time.Duration
 	host  int
-	state string // as discovery words it; a host in_service again is a new one at the same place
+	state string // as discovery words it
 }
 
 // outage is a time in which discovery can't be reached.
--- a/cmd/spanmux/soak_test.go
+++ b/cmd/spanmux/soak_test.go
@@ -96,7 +96,7 @@
 	record := &soakRecord{began: time.Now()}
 	var hosts []*soakHost
 	for i, phases := range s.hosts {
-		hosts = append(hosts, startSoakHost(record, i, 0, phases))
+		hosts = append(hosts, startSoakHost(record, i, phases))
 	}
 	gateways := make([]*soakGateway, soakGateways)
 	discovery := startSoakDiscovery(record, hosts, s.silentAt, func(gateway int) int { return gateways[gateway].processIndex() })
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -110,10 +110,10 @@
 // mayWait reports whether a request may wait for a connection to a host, and records that it does. Where requests come
 // so fast that they would wait one after the other, more connections are opened. The caller holds the lock.
 func (p *Pool) mayWait(target Target, now time.Time) bool {
-	maps.DeleteFunc(p.waitedAt, func(_ Target, at time.Time) bool { return now.Sub(at) >= reuseWaitInterval })
-	if _, waited := p.waitedAt[target]; waited {
+	if now.Sub(p.waitedAt[target]) < reuseWaitInterval {
 		return false
 	}
+	maps.DeleteFunc(p.waitedAt, func(_ Target, at time.Time) bool { return now.Sub(at) >= reuseWaitInterval })
 	p.waitedAt[target] = now
 	return true
 }
