--- a/review/rig/case1.go
+++ b/review/rig/case1.go
@@ -9,16 +9,16 @@
 
 func init() { cases["1"] = repeatAfterWindow }
 
-// repeatAfterWindow is case 1. One of ten hosts answers 500 to what it has done, and three of ten hang for some seconds
+// repeatAfterWindow is case 1. One of fifteen hosts answers 500 to what it has done, and three of fifteen hang for some seconds
 // with their connections open. Clients send long journalled transactions.
 func repeatAfterWindow(b *bench, trouble bool) (breaks []string) {
 	const (
 		window   = 2 * time.Second // of group-book, in the settings
-		hangTime = 4 * time.Second
+		hangTime = 5 * time.Second
 		bodySize = 1_500_000
 	)
 	halls := []string{"hall-a", "hall-b", "hall-c"}
-	hosts, list := b.startHosts(halls, []int{4, 3, 3}, "std-2c", func(int) int { return 150 })
+	hosts, list := b.startHosts(halls, []int{4, 6, 5}, "std-2c", func(int) int { return 150 })
 	gateways := b.startGateways(parseSettings(kochi), []string{"hall-a", "hall-a"}, startDiscovery(list), false)
 	var mu sync.Mutex
 	var requests []*request
