A body passed on to a host that takes none of it is answered in its time

Cause, by trace on a copy that logs each stalled piece: the gateway's sockets to hosts that hang take some 300 to 400 KB, then BodyWriter.Write waits for one piece for 10.0 s (streamWriteTimeout) and asks only whether the client has gone. Meanwhile the client's last byte lies unread, and the time of the transaction began only when that byte was read. A host that takes a little at a time makes the wait longer still. The same clock was wrong for a body that was read before its host was connected: its time began with the connection.

The answer is due by the same clock. A hop that ends so never ran: the connection is reset if its host has not acknowledged all, as a mere close leaves the rest to be delivered later. Counter hops_not_accepted.

--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -44,7 +44,7 @@
 		t.client.WriteFinal(protocol.TextResponse(400, reason+"\n", 0, true))
 		return false
 	}
-	if !d.startTransaction(t, profileIndex, max(t.request.Budget-responseTimeReserve, time.Millisecond)) {
+	if !d.startTransaction(t, profileIndex, t.answerWithin()) {
 		d.Counters.recordInvalidInput("trace id of an open transaction", slog.String("trace", t.request.TraceID))
 		t.counters.aborted.Add(1)
 		t.client.WriteFinal(protocol.TextResponse(409, "its id is that of another\n", 0, true))
@@ -53,6 +53,11 @@
 	return true
 }
 
+// answerWithin returns the time for the final answer, from the last byte of the request on.
+func (t *tx) answerWithin() time.Duration {
+	return max(t.request.Budget-responseTimeReserve, time.Millisecond)
+}
+
 // newArrival describes a transaction for the decision core. The caller holds d.mu, as tenants may
 // change.
 func (d *Dispatcher) newArrival(request *protocol.Transaction, profileIndex int, budget time.Duration) logic.Arrival {
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -29,6 +29,8 @@
 	Hops, HopsWritten counter
 	// HopsWithdrawn counts hops not written as the transaction was over or the host accepted no new hops.
 	HopsWithdrawn counter
+	// HopsNotAccepted counts hops of which the host did not accept the whole request in time.
+	HopsNotAccepted counter
 	// HopsNoSocket counts hops not written as no socket came free for them.
 	HopsNoSocket counter
 
@@ -147,6 +149,7 @@
 		{"tx_turned_away", &counters.RejectedBeforeAdmission},
 		{"tx_answers_unwritten", &counters.ResponsesUnwritten}, {"tx_microseconds", &counters.ResponseMicroseconds}, {"hops", &counters.Hops},
 		{"hops_written", &counters.HopsWritten}, {"hops_withdrawn", &counters.HopsWithdrawn}, {"hops_no_room", &counters.HopsNoSocket},
+		{"hops_not_accepted", &counters.HopsNotAccepted},
 		{"answers_streamed", &counters.ResponsesStreamed}, {"answers_cut_off", &counters.ResponsesCutOff},
 		{"answers_handed_over", &counters.HandedOver}, {"answers_adopted", &counters.Adopted}, {"tx_open", &counters.OpenTransactions},
 		{"files_taken", &counters.SettingsApplied}, {"files_turned_down", &counters.SettingsRejected},
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -14,7 +14,7 @@
 
 // outcomeOf maps the outcome of an exchange without a response to that of its hop.
 var outcomeOf = map[transport.Outcome]logic.HopOutcome{
-	transport.OutcomeConnectFailed: logic.HopNoConnection, transport.OutcomeNotWritten: logic.HopNoConnection, transport.OutcomeBroken: logic.HopConnectionBroken,
+	transport.OutcomeConnectFailed: logic.HopNoConnection, transport.OutcomeNotWritten: logic.HopNoConnection, transport.OutcomeNotAccepted: logic.HopNoConnection, transport.OutcomeBroken: logic.HopConnectionBroken,
 	transport.OutcomeTimedOut: logic.HopTimedOut, transport.OutcomeCancelled: logic.HopCalledOff, transport.OutcomeWithdrawn: logic.HopNoConnection,
 }
 
@@ -48,6 +48,9 @@
 		d.endUnsentHop(h)
 		return
 	}
+	if exchangeOutcome == transport.OutcomeNotAccepted {
+		d.Counters.HopsNotAccepted.Add(1)
+	}
 	outcome, load := h.outcome(exchangeOutcome), logic.NoLoadReport
 	if h.response != nil {
 		load = h.response.Load
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -144,8 +144,7 @@
 	var writer *transport.BodyWriter
 	var early earlyBody
 	defer func() { d.bodyBudget.Add(int64(len(early.chunks)) * streamBufferBytes) }()
-	connected := func() bool { return !t.client.PeerClosed() }
-	t.client.BeginBody()
+	t.client.BeginBody(t.startedAt)
 	for {
 		if writer == nil {
 			hostReady := func() bool { return len(t.bodyWriters) > 0 || t.isDone() }
@@ -193,7 +192,7 @@
 				t.bodyReceived, t.pipelined, t.startedAt, t.bodyHop.sentAt = true, t.client.Reader.Buffered() > 0, readAt, readAt
 				d.core.HopBodySent(now, t.id, t.bodyHop.index)
 			})
-			switch err := writer.WriteLast(t.request.EncodePiece(buf[:n], true), t.responseTimeout, connected); {
+			switch err := writer.WriteLast(t.request.EncodePiece(buf[:n], true), t.responseTimeout, t.bodyWriteLimit()); {
 			case errors.Is(err, transport.ErrUnwanted):
 				return d.abortBody(t, nil)
 			case err != nil:
@@ -205,7 +204,7 @@
 			return !alreadyAnswered
 		}
 		if n > 0 {
-			switch err := writer.Write(t.request.EncodePiece(buf[:n], false), connected); {
+			switch err := writer.Write(t.request.EncodePiece(buf[:n], false), t.bodyWriteLimit()); {
 			case errors.Is(err, transport.ErrUnwanted):
 				return d.abortBody(t, nil)
 			case err != nil:
@@ -220,6 +219,12 @@
 	}
 }
 
+// bodyWriteLimit returns the limit on the wait for a host as a body is passed on to it. The time of the transaction counts
+// from the last byte of its body, which may have come as soon as not all that had come was read.
+func (t *tx) bodyWriteLimit() transport.WriteLimit {
+	return transport.WriteLimit{Deadline: t.client.BodySentAfter().Add(t.answerWithin()), StillWanted: func() bool { return !t.client.PeerClosed() }}
+}
+
 // abortBody handles a body that ends early: its client has left, or has sent something invalid.
 func (d *Dispatcher) abortBody(t *tx, err error) bool {
 	if d.clientLeft(t) {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -29,6 +29,8 @@
 	retained       []byte        // a copy of the bytes read, for the next process
 	retainOverflow bool          // retained is not complete, as the budget for it was used up
 	dispatched     bool          // MarkActive was called: at least the head has been handled
+	forwarding     bool          // within its body, announced by BeginBody
+	arrival        bodyArrival   // of that body
 	discarding     atomic.Bool   // the rest of the request is read only to be thrown away
 
 	// All that follows is guarded by the listener's lock.
--- a/internal/transport/client_read.go
+++ b/internal/transport/client_read.go
@@ -101,15 +101,28 @@
 	n := copy(b, r.inherited)
 	var err error
 	if r.inherited = r.inherited[n:]; n == 0 {
-		if n, err = r.conn.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && r.rejected() {
-			err = ErrShuttingDown
-		}
+		n, err = (*Client)(r).readSocket(b)
 	}
 	r.received += n
 	(*Client)(r).retain(b[:n])
 	return n, err
 }
 
+// readSocket reads from the socket, and follows the arrival of a body that is passed on meanwhile.
+func (c *Client) readSocket(b []byte) (n int, err error) {
+	waits := c.forwarding && !c.socket.readable()
+	if n, err = c.conn.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && (*minRateReader)(c).rejected() {
+		err = ErrShuttingDown
+	}
+	switch {
+	case waits:
+		c.arrival.readAfterWait(n, time.Now())
+	case c.forwarding:
+		c.arrival.read(n, time.Now(), c.socket.unread)
+	}
+	return n, err
+}
+
 // rejected reports whether the request is rejected as the process ends.
 func (r *minRateReader) rejected() bool {
 	switch r.listener.rejecting.Load() {
@@ -137,15 +150,22 @@
 // nothing was read because a host accepted the body slowly, which is not the client's fault.
 func (c *Client) ExtendReadTime(d time.Duration) { c.readStart = c.readStart.Add(d) }
 
-// BeginBody records that the request is dispatched while its body still arrives.
-func (c *Client) BeginBody() {
+// BeginBody records that the request, whose head was read at the given time, is dispatched while its body still arrives.
+func (c *Client) BeginBody(headReadAt time.Time) {
+	c.forwarding = true
+	c.arrival.begin(headReadAt)
 	c.listener.mu.Lock()
 	c.streamingBody = true
 	c.listener.mu.Unlock()
 }
 
+// BodySentAfter returns a time that is before the client sent the last byte of the body announced by BeginBody. What has
+// arrived since then may wait unread in the sockets, and the last byte with it.
+func (c *Client) BodySentAfter() time.Time { return c.arrival.sentAfter }
+
 // EndBody records that the body announced by BeginBody has been read to its end, and clears the read deadline.
 func (c *Client) EndBody() {
+	c.forwarding = false
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.streamingBody, c.pipelined = false, c.Reader.Buffered() > 0
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -21,6 +21,7 @@
 	OutcomeCancelled                    // cancelled after the last byte was written
 	OutcomeNoSlot                       // no connection came free for it in time: nothing has run, and the host was not contacted
 	OutcomeWithdrawn                    // cancelled, or no longer wanted, before the last byte was written: nothing has run
+	OutcomeNotAccepted                  // the host has not accepted the whole message in time: nothing has run
 )
 
 // Exchange is one message to a host and its response. OnDone is called exactly once.
@@ -44,6 +45,7 @@
 	mu             sync.Mutex
 	cancelled      bool
 	lastWriteBegun bool      // the last byte has been written or is about to be
+	writeOverdue   bool      // a write ended with ErrWriteOverdue
 	stop           func()    // interrupts the exchange; nil before its start and after its end
 	hostConn       *hostConn // set when the message is written
 }
@@ -63,48 +65,51 @@
 	exchange *Exchange
 }
 
-// ErrUnwanted is returned by a write that ended early because the message is no longer wanted.
-var ErrUnwanted = errors.New("message no longer wanted")
-
-// Write writes a further piece, unless stillWanted returns false before it is written: a host may accept nothing for a
-// long time. The host runs nothing before it has the last piece.
-func (w *BodyWriter) Write(piece net.Buffers, stillWanted func() bool) error {
-	for deadline := time.Now().Add(streamWriteTimeout); ; {
-		w.hostConn.conn.SetWriteDeadline(time.Now().Add(stillWantedPollInterval))
-		_, err := piece.WriteTo(w.hostConn.conn) // removes from piece what has been written
-		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
-			if stillWanted() {
-				continue
-			}
-			return ErrUnwanted
-		}
-		if err != nil {
-			w.hostConn.conn.Close()
-		}
-		return err
+// Errors of a write that ended before all was written.
+var (
+	ErrUnwanted     = errors.New("message no longer wanted")
+	ErrWriteOverdue = errors.New("host has not accepted the message in time")
+)
+
+// WriteLimit is what ends the wait for a host that accepts nothing, or little.
+type WriteLimit struct {
+	Deadline    time.Time   // of the write
+	StillWanted func() bool // called every stillWantedPollInterval
+}
+
+// Write writes a further piece within a limit. The host runs nothing before it has the last piece. With every error but
+// ErrUnwanted the connection is closed.
+func (w *BodyWriter) Write(piece net.Buffers, limit WriteLimit) error {
+	err := w.hostConn.write(piece, limit)
+	if errors.Is(err, ErrWriteOverdue) {
+		w.exchange.markWriteOverdue()
+	}
+	if err != nil && !errors.Is(err, ErrUnwanted) {
+		w.hostConn.abort()
 	}
+	return err
 }
 
 // Abort closes the connection instead of writing the last piece, so that nothing has run.
-func (w *BodyWriter) Abort() { w.hostConn.conn.Close() }
+func (w *BodyWriter) Abort() { w.hostConn.abort() }
 
-// WriteLast writes the last piece; the response must arrive within responseTimeout from then on. It holds the
-// connection's lock while it writes, so that a host which closes the connection as soon as it has the whole message is
-// not taken for one that never had it.
-func (w *BodyWriter) WriteLast(piece net.Buffers, responseTimeout time.Duration, stillWanted func() bool) error {
+// WriteLast writes the last piece; the response must arrive within responseTimeout from then on, and by the deadline of
+// the limit. It holds the connection's lock while it writes, so that a host which closes the connection as soon as it has
+// the whole message is not taken for one that never had it.
+func (w *BodyWriter) WriteLast(piece net.Buffers, responseTimeout time.Duration, limit WriteLimit) error {
 	w.hostConn.mu.Lock()
 	defer w.hostConn.mu.Unlock()
 	if w.hostConn.exchange != w.exchange || !w.exchange.beginLastWrite() {
 		return net.ErrClosed
 	}
-	err := w.Write(piece, stillWanted)
+	err := w.Write(piece, limit)
 	if errors.Is(err, ErrUnwanted) {
 		w.exchange.mu.Lock()
 		w.exchange.lastWriteBegun = false // the exchange may still be withdrawn
 		w.exchange.mu.Unlock()
 	}
 	if w.hostConn.fullyWritten = err == nil; w.hostConn.fullyWritten {
-		w.exchange.Deadline = time.Now().Add(responseTimeout)
+		w.exchange.Deadline = earlier(limit.Deadline, time.Now().Add(responseTimeout))
 		w.hostConn.conn.SetReadDeadline(w.exchange.Deadline)
 		w.exchange.OnWritten()
 	}
@@ -140,6 +145,13 @@
 	return x.lastWriteBegun
 }
 
+// markWriteOverdue records that the host has not accepted the message in time.
+func (x *Exchange) markWriteOverdue() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.writeOverdue = true
+}
+
 // isWanted reports whether the message is still to be sent.
 func (x *Exchange) isWanted() bool { return x.StillWanted == nil || x.StillWanted() }
 
@@ -163,6 +175,8 @@
 		return OutcomeWithdrawn
 	case x.cancelled:
 		return OutcomeCancelled
+	case !fullyWritten && x.writeOverdue:
+		return OutcomeNotAccepted
 	case !fullyWritten:
 		return OutcomeNotWritten
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/transport/hostconn.go
+++ b/internal/transport/hostconn.go
@@ -65,6 +65,33 @@
 	return true
 }
 
+// write writes part of a message within a limit. A host may accept nothing for a long time, or little at a time.
+func (c *hostConn) write(parts net.Buffers, limit WriteLimit) error {
+	for {
+		now := time.Now()
+		if !now.Before(limit.Deadline) {
+			return ErrWriteOverdue
+		}
+		c.conn.SetWriteDeadline(earlier(limit.Deadline, now.Add(stillWantedPollInterval)))
+		_, err := parts.WriteTo(c.conn) // removes from parts what has been written
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if !limit.StillWanted() {
+			return ErrUnwanted
+		}
+	}
+}
+
+// abort closes the connection. What its host has not accepted by then is dropped: after a mere close the system would go
+// on delivering it for as long as the host is there.
+func (c *hostConn) abort() {
+	if c.socket.unacknowledged() > 0 {
+		c.conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.conn.Close()
+}
+
 // serve reads from the connection until it is closed: the response during an exchange, the host's close between two.
 func (c *hostConn) serve() {
 	defer c.pool.remove(c)
--- a/internal/transport/limits.go
+++ b/internal/transport/limits.go
@@ -24,8 +24,8 @@
 	partialRequestGrace           = 250 * time.Millisecond  // before a partial request may be evicted: as a rule requests arrive in one piece
 	minBodyBytesPerSecond         = 48 << 10                // least rate of a request body: clients promise 64 kB/s
 	bodySilenceTimeout            = 2 * time.Second         // between two reads of a request body: a well-behaved client sends steadily
-	streamWriteTimeout            = 10 * time.Second        // for one piece of a stream: a peer that accepts nothing for this long is taken for dead
-	stillWantedPollInterval       = 20 * time.Millisecond   // between checks whether a piece that a host does not accept is still wanted: a client's close must take effect within 0.1 s
+	streamWriteTimeout            = 10 * time.Second        // for one piece of a streamed response: a client that accepts nothing for this long is taken for dead
+	stillWantedPollInterval       = 20 * time.Millisecond   // between checks whether a message that a host does not accept is still wanted: a client's close must take effect within 0.1 s
 	briefStreamWriteTimeout       = 20 * time.Millisecond   // for one piece while the host sends more: a socket's buffer fills in that time
 	maxBodyDuration               = time.Hour               // for a request body to arrive; its least rate ends it far sooner
 	closeGrace                    = 50 * time.Millisecond   // for a request that has arrived on a connection about to close: covers scheduling delays
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -60,6 +60,23 @@
 // sending side alone counts: a client that has done that sends no more.
 func peerHungUp(fd uintptr) bool { return pollEvents(fd, unix.POLLRDHUP) != 0 }
 
+// unacknowledged returns how many bytes of what was written the peer's machine has not acknowledged, 0 if that is not
+// known.
+func (s socketState) unacknowledged() (bytes int) {
+	s.raw.Control(func(fd uintptr) { bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return bytes
+}
+
+// unread returns how many bytes have arrived that no one has read.
+func (s socketState) unread() (bytes int, known bool) {
+	s.raw.Control(func(fd uintptr) {
+		var err error
+		bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		known = err == nil
+	})
+	return bytes, known
+}
+
 // pollEvents returns which of the wanted poll events hold, and POLLHUP and POLLERR, which poll
 // always reports. Unlike a receive, poll leaves the connection's pending error in place. A receive takes it even
 // with MSG_PEEK, so that the next one finds an orderly end of file where there was a reset.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -40,7 +40,7 @@
 const testTimeout = 5 * time.Second
 
 // outcomeNames are the names of the Outcomes, in their order.
-var outcomeNames = [...]string{"answered", "never up", "not written", "broken", "timed out", "given up", "no room", "withdrawn"}
+var outcomeNames = [...]string{"answered", "never up", "not written", "broken", "timed out", "given up", "no room", "withdrawn", "not accepted"}
 
 // exchangeLine sends a line to a host, reads a line as the response, and prints the outcome. If cancel is set it cancels
 // the exchange once its connection is open.
