A repeat that its host does not take while repeats are dropped is not sent on

Cause, by trace on a copy that logs long writes: the core looks at the window as it picks the host; the hop gets the transaction's deadline alone, and one gathered write of the whole message stood for 3.3 to 5.0 s at hosts that hang, with 2.0 to 3.5 s left to that deadline. It went through as they went on. The same holds for a connection that is long in coming up, and for a message that this machine's socket takes whole: the system delivers it as the host reads on, even after a close.

Change: SendHop gets limits; DeliverWithin is what is left of the window. The host must have the last byte by then: looked at as the connection is there, at each wait within the write, and at the end of the window for what the host's machine has not acknowledged, which is dropped by a reset.

Example_deduplicated now prints the window that is left: a line more strict. Bodies of under some 100 KB that a stopped host's own machine has taken can't be taken back: they were sent in time.

--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -21,6 +21,7 @@
 	target       transport.Target
 	index        int       // in tx.hops
 	sentAt       time.Time // of a streamed body: when its end was received
+	deliverBy    time.Time // until when its host must have the whole request; zero if it is no repeat
 	exchange     *transport.Exchange
 	response     *protocol.Response
 	fullyWritten bool // the request was written completely
@@ -28,12 +29,15 @@
 }
 
 // SendHop sends the transaction to a host. A host without a known address can't be reached.
-func (d *Dispatcher) SendHop(id logic.TxID, hostID logic.HostID, timeout time.Duration) {
+func (d *Dispatcher) SendHop(id logic.TxID, hostID logic.HostID, limits logic.HopLimits) {
 	t := d.txs[id]
 	h := &hop{tx: t, hostID: hostID, target: d.discovery.targetOf(hostID), index: len(t.hops), sentAt: time.Now()}
 	t.hops = append(t.hops, h)
 	t.hopsInFlight++
-	deadline := h.sentAt.Add(timeout)
+	deadline := h.sentAt.Add(limits.Timeout)
+	if limits.DeliverWithin > 0 {
+		h.deliverBy = h.sentAt.Add(limits.DeliverWithin)
+	}
 	if t.bodyForwardStarted { // the part of the body that was sent can't be sent again
 		d.afterUnlock(func() { d.endUnsentHop(h) })
 		return
@@ -41,6 +45,7 @@
 	h.exchange = &transport.Exchange{
 		BuildMessage: func() net.Buffers { return t.request.EncodeForHost(time.Until(deadline)) },
 		Deadline:     deadline,
+		DeliverBy:    h.deliverBy,
 		StillWanted:  func() bool { return d.stillWanted(h) },
 		ReadResponse: func(reader *bufio.Reader) (keep bool, err error) {
 			var head protocol.Head
@@ -57,19 +62,19 @@
 		OnDone: func(outcome transport.Outcome) { d.hopEnded(h, outcome) },
 	}
 	if t.request.RemainingBody != nil {
-		h.exchange.StreamBody = func(writer *transport.BodyWriter) bool { return d.offerBodyWriter(h, writer, timeout) }
+		h.exchange.StreamBody = func(writer *transport.BodyWriter) bool { return d.offerBodyWriter(h, writer, limits.Timeout) }
 	}
 	d.Counters.Hops.Add(1)
 	d.startExchange(h.target, h.exchange, len(t.request.Body) > protocol.MaxBufferedBodyBytes)
 }
 
-// stillWanted reports whether a hop is still to be sent: its client waits and its host accepts new
-// hops. A connection may take long to come up; by then the client may have left, or the grace period
-// of a drain be over.
+// stillWanted reports whether a hop is still to be sent: its client waits, its host accepts new hops,
+// and drops a repeat. A connection may take long to come up; by then the client may have left, or the
+// grace period of a drain or the window of repeats be over.
 func (d *Dispatcher) stillWanted(h *hop) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !h.tx.answered && d.discovery.acceptsNewHops(h.hostID)
+	return !h.tx.answered && d.discovery.acceptsNewHops(h.hostID) && (h.deliverBy.IsZero() || time.Now().Before(h.deliverBy))
 }
 
 // endUnsentHop ends a hop that can't be sent. It never ran, and does not count against its host.
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -40,11 +40,11 @@
 // endLine ends the action.
 func (a *actionWriter) endLine() { a.out.WriteByte('\n') }
 
-func (a *actionWriter) SendHop(id logic.TxID, host logic.HostID, timeout time.Duration) {
+func (a *actionWriter) SendHop(id logic.TxID, host logic.HostID, limits logic.HopLimits) {
 	a.beginAction("dispatch")
 	a.writeInt(int64(id))
 	a.writeInt(int64(host))
-	a.writeInt(timeout.Microseconds())
+	a.writeInt(limits.Timeout.Microseconds())
 	a.endLine()
 }
 
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -28,6 +28,9 @@
 type Exchange struct {
 	BuildMessage func() net.Buffers // called when the message is written, so that it can contain the time that is left
 	Deadline     time.Time
+	// DeliverBy is until when the host must have the last byte of a message without StreamBody; zero if only Deadline
+	// binds. What the host's machine has not acknowledged by then is dropped.
+	DeliverBy time.Time
 	// StillWanted, if not nil, reports whether the message is still to be sent. It is called at the start and again
 	// when a new connection is open, since that may have taken long.
 	StillWanted  func() bool
@@ -46,6 +49,7 @@
 	cancelled      bool
 	lastWriteBegun bool      // the last byte has been written or is about to be
 	writeOverdue   bool      // a write ended with ErrWriteOverdue
+	undelivered    bool      // written, but not delivered by DeliverBy
 	stop           func()    // interrupts the exchange; nil before its start and after its end
 	hostConn       *hostConn // set when the message is written
 }
@@ -85,13 +89,13 @@
 		w.exchange.markWriteOverdue()
 	}
 	if err != nil && !errors.Is(err, ErrUnwanted) {
-		w.hostConn.abort()
+		w.hostConn.conn.Close()
 	}
 	return err
 }
 
 // Abort closes the connection instead of writing the last piece, so that nothing has run.
-func (w *BodyWriter) Abort() { w.hostConn.abort() }
+func (w *BodyWriter) Abort() { w.hostConn.conn.Close() }
 
 // WriteLast writes the last piece; the response must arrive within responseTimeout from then on, and by the deadline of
 // the limit. It holds the connection's lock while it writes, so that a host which closes the connection as soon as it has
@@ -152,6 +156,25 @@
 	x.writeOverdue = true
 }
 
+// writeDeadline returns until when the message may be written.
+func (x *Exchange) writeDeadline() time.Time {
+	if x.DeliverBy.IsZero() {
+		return x.Deadline
+	}
+	return earlier(x.DeliverBy, x.Deadline)
+}
+
+// endIfUndelivered ends the exchange if its host's machine has not acknowledged the whole message, which has been
+// written: what this machine's socket holds of it would be delivered as soon as the host reads on.
+func (x *Exchange) endIfUndelivered() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.stop != nil && x.hostConn.socket.unacknowledged() > 0 {
+		x.undelivered = true
+		x.stop()
+	}
+}
+
 // isWanted reports whether the message is still to be sent.
 func (x *Exchange) isWanted() bool { return x.StillWanted == nil || x.StillWanted() }
 
@@ -179,7 +202,7 @@
 		return OutcomeNotAccepted
 	case !fullyWritten:
 		return OutcomeNotWritten
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case x.undelivered, errors.Is(err, os.ErrDeadlineExceeded):
 		return OutcomeTimedOut
 	}
 	return OutcomeBroken
--- a/internal/transport/hostconn.go
+++ b/internal/transport/hostconn.go
@@ -41,15 +41,23 @@
 	}
 	invariant.Check(c.exchange == nil, "one exchange a connection")
 	c.exchange, c.fullyWritten, x.hostConn = x, false, c
-	c.conn.SetDeadline(x.Deadline)
-	if !x.setStop(func() { c.conn.Close() }) || x.StreamBody == nil && !x.beginLastWrite() {
+	c.conn.SetReadDeadline(x.Deadline)
+	stop := func() { // called with the lock of the exchange
+		if x.lastWriteBegun {
+			c.abort()
+		}
+		c.conn.Close()
+	}
+	if !x.setStop(stop) || x.StreamBody == nil && !x.beginLastWrite() {
 		c.conn.Close() // serve, which reads, ends the exchange
 		return true
 	}
-	message := x.BuildMessage()
-	_, err := message.WriteTo(c.conn)
+	err := c.write(x.BuildMessage(), WriteLimit{x.writeDeadline(), func() bool { return true }})
 	switch {
 	case err != nil:
+		if errors.Is(err, ErrWriteOverdue) {
+			x.markWriteOverdue()
+		}
 		c.conn.Close()
 	case x.StreamBody != nil:
 		x.Deadline = time.Now().Add(maxBodyDuration)
@@ -61,6 +69,9 @@
 		if c.fullyWritten = true; x.OnWritten != nil {
 			x.OnWritten()
 		}
+		if !x.DeliverBy.IsZero() {
+			time.AfterFunc(time.Until(x.DeliverBy), x.endIfUndelivered)
+		}
 	}
 	return true
 }
@@ -83,8 +94,8 @@
 	}
 }
 
-// abort closes the connection. What its host has not accepted by then is dropped: after a mere close the system would go
-// on delivering it for as long as the host is there.
+// abort closes the connection with a message written whole. What of it the host's machine has not acknowledged is dropped:
+// after a mere close the system would go on delivering it, to its last byte.
 func (c *hostConn) abort() {
 	if c.socket.unacknowledged() > 0 {
 		c.conn.(*net.TCPConn).SetLinger(0)
@@ -120,6 +131,9 @@
 			c.clearExchange()
 			c.pool.putIdle(c)
 		}
+		if fullyWritten && outcome != OutcomeAnswered {
+			c.abort()
+		}
 		x.OnDone(outcome)
 		if !keepAlive {
 			return
--- a/logic/coldfleet_test.go
+++ b/logic/coldfleet_test.go
@@ -175,7 +175,7 @@
 	hopEnded []bool // by hop index
 }
 
-func (g *fleetGateway) SendHop(id logic.TxID, host logic.HostID, timeout time.Duration) {
+func (g *fleetGateway) SendHop(id logic.TxID, host logic.HostID, limits logic.HopLimits) {
 	f, tx, process, sentAt := g.fleet, g.txs[id], g.processCount, g.fleet.now
 	hopIndex := len(tx.hopEnded)
 	tx.hopEnded = append(tx.hopEnded, false)
@@ -186,8 +186,8 @@
 			})
 		})
 	})
-	f.schedule(timeout, func() {
-		g.endHop(process, id, hopIndex, logic.HopResult{Outcome: logic.HopTimedOut, Latency: timeout, Load: logic.NoLoadReport})
+	f.schedule(limits.Timeout, func() {
+		g.endHop(process, id, hopIndex, logic.HopResult{Outcome: logic.HopTimedOut, Latency: limits.Timeout, Load: logic.NoLoadReport})
 	})
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -858,7 +858,7 @@
 	switch {
 	case ranOn == nil || t.profileConfig.Effect == Idempotent:
 		return true
-	case t.profileConfig.Effect == NonIdempotent || now-ranOn.sentAt >= t.profileConfig.DedupWindow-serviceGoalMargin:
+	case t.profileConfig.Effect == NonIdempotent || t.repeatWindowLeft(now) <= 0:
 		return false
 	}
 	return t.profileConfig.DedupScope == DedupAllHosts ||
@@ -866,6 +866,16 @@
 		t.profileConfig.DedupScope == DedupSameCell && h.Cell == ranOn.host.Cell
 }
 
+// repeatWindowLeft returns for how long hosts still drop a repeat of a transaction that may have run, 0 if it can't have
+// run or may run again.
+func (t *tx) repeatWindowLeft(now time.Duration) time.Duration {
+	ranOn := t.possiblyRunHop()
+	if ranOn == nil || t.profileConfig.Effect != Deduplicated {
+		return 0
+	}
+	return max(0, ranOn.sentAt+t.profileConfig.DedupWindow-serviceGoalMargin-now)
+}
+
 // isOutlier reports whether hops of a tenant miss their goals while those of the others don't. They then wait for
 // something of the tenant's own, and hosts aren't judged by them. If they are heavy work instead, the others soon
 // miss their goals too.
@@ -1032,6 +1042,7 @@
 	}
 	b.markUnsent(h)
 	wait, idle := b.hopTimeout(t, h)
+	limits := HopLimits{Timeout: wait, DeliverWithin: t.repeatWindowLeft(b.now)}
 	h.connectionUnproven = ternary(h.ownInFlight == 1, h.lastUsedAt == 0 || idle > 0, h.connectionUnproven)
 	h.lastUsedAt, t.hopsInFlight = b.now, t.hopsInFlight+1
 	t.hops = append(t.hops,
@@ -1040,7 +1051,7 @@
 				b.finishTransaction(t)
 			}
 		}})
-	b.executor.SendHop(t.id, h.ID, wait)
+	b.executor.SendHop(t.id, h.ID, limits)
 	if b.hasNoLoadInfo() && b.hopRule.CallOffAllowed {
 		b.callOffAfter(b.hopTimeLimit(t, h.group), t, len(t.hops)-1)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -43,7 +43,7 @@
 	gw.printLines()
 	// Output:
 	// 1000 tx 1 hop to 2 for 395
-	// 1000 tx 1 hop to 4 for 395
+	// 1000 tx 1 hop to 4 for 395, there within 295
 	// 1000 tx 1 abandoned
 	// 1000 tx 3 hop to 1 for 395
 	// 1299 tx 3 abandoned
--- a/logic/retry_test.go
+++ b/logic/retry_test.go
@@ -20,7 +20,7 @@
 	pendingHops      []logic.TxID
 }
 
-func (gw *retryGateway) SendHop(id logic.TxID, host logic.HostID, timeout time.Duration) {
+func (gw *retryGateway) SendHop(id logic.TxID, host logic.HostID, limits logic.HopLimits) {
 	if gw.hopsByTx[id]++; gw.hopsByTx[id] > 1 {
 		gw.retriedAt = append(gw.retriedAt, gw.now)
 		gw.retriesByProfile[gw.profileByTx[id]]++
--- a/logic/rulechecker_test.go
+++ b/logic/rulechecker_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (c *ruleChecker) SendHop(id logic.TxID, hostID logic.HostID, timeout time.Duration) {
+func (c *ruleChecker) SendHop(id logic.TxID, hostID logic.HostID, limits logic.HopLimits) {
 	t := c.txs[id]
 	c.check("a hop after the final answer", t != nil && !t.answered)
 	c.check("a hop to a host that is not ready", c.hostStates[hostID] == logic.HostReady)
--- a/logic/simulation_test.go
+++ b/logic/simulation_test.go
@@ -357,7 +357,7 @@
 	})
 }
 
-func (g *simGateway) SendHop(id logic.TxID, host logic.HostID, timeout time.Duration) {
+func (g *simGateway) SendHop(id logic.TxID, host logic.HostID, limits logic.HopLimits) {
 	tx := g.transactions[id]
 	hop := &simHop{simTx: tx, hopIndex: len(tx.hops), host: g.hosts[host-1], sentAt: g.now}
 	tx.hops = append(tx.hops, hop)
@@ -366,7 +366,7 @@
 			hop.host.hopArrived(hop)
 		}
 	})
-	g.schedule(timeout, func() {
+	g.schedule(limits.Timeout, func() {
 		if !hop.endedAtGateway {
 			g.stopAtHost(hop)
 			g.hopEnded(hop, logic.HopTimedOut, logic.NoLoadReport)
@@ -489,7 +489,7 @@
 func (g *randomGateway) TransactionReceived(_ time.Duration, id logic.TxID, arrival logic.Arrival) {
 	hostsPerZone := g.hostCount / g.zoneCount
 	hostIndex := (g.index%g.zoneCount + g.zoneCount*g.otherRandom.IntN(hostsPerZone))
-	g.SendHop(id, logic.HostID(hostIndex+1), arrival.Budget)
+	g.SendHop(id, logic.HostID(hostIndex+1), logic.HopLimits{Timeout: arrival.Budget})
 }
 func (g *randomGateway) HopEnded(time.Duration, logic.TxID, int, logic.HopResult, bool) {}
 func (g *randomGateway) ClientLeft(time.Duration, logic.TxID)                           {}
--- a/logic/testgateway_test.go
+++ b/logic/testgateway_test.go
@@ -78,10 +78,14 @@
 	}
 }
 
-func (gw *testGateway) SendHop(id logic.TxID, host logic.HostID, timeout time.Duration) {
+func (gw *testGateway) SendHop(id logic.TxID, host logic.HostID, limits logic.HopLimits) {
 	gw.hopsByHost[host]++
 	gw.lastHost = host
-	gw.record("tx %d hop to %d for %d", id, host, timeout/ms)
+	within := ""
+	if limits.DeliverWithin > 0 {
+		within = fmt.Sprintf(", there within %d", limits.DeliverWithin/ms)
+	}
+	gw.record("tx %d hop to %d for %d%s", id, host, limits.Timeout/ms, within)
 }
 func (gw *testGateway) CallOff(id logic.TxID, hopIndex int) {
 	gw.record("tx %d call off hop %d", id, hopIndex)
--- a/logic/types.go
+++ b/logic/types.go
@@ -101,9 +101,8 @@
 
 // Executor carries out the decisions of a Core.
 type Executor interface {
-	// SendHop sends the transaction to a host and waits at most timeout for the outcome. The hops of a transaction
-	// are numbered from 0.
-	SendHop(id TxID, host HostID, timeout time.Duration)
+	// SendHop sends the transaction to a host within limits. The hops of a transaction are numbered from 0.
+	SendHop(id TxID, host HostID, limits HopLimits)
 	// CallOff cancels a hop. Its end is still reported through Core.HopEnded.
 	CallOff(id TxID, hopIndex int)
 	// RollBack sends the final answer that the transaction had no lasting effect. The client may retry after
@@ -125,6 +124,15 @@
 	Log(line string)
 }
 
+// HopLimits bounds a hop in time, from the moment in which it is sent.
+type HopLimits struct {
+	// Timeout is for the outcome. For a request whose body is pending it counts from the last byte of that.
+	Timeout time.Duration
+	// DeliverWithin is for the last byte of a repeat to reach its host, 0 if the hop is no repeat. A host that gets it
+	// later may no longer drop it.
+	DeliverWithin time.Duration
+}
+
 // PeerEntry is one item of a message between gateways. Which fields are used, and how, depends on Kind.
 type PeerEntry struct {
 	Kind     PeerEntryKind
--- a/tools/scale/fleet.go
+++ b/tools/scale/fleet.go
@@ -69,7 +69,7 @@
 	heap.Push(&f.events, event{f.now + delay, f.lastEventSeq, run})
 }
 
-func (m *fleetMember) SendHop(id logic.TxID, host logic.HostID, _ time.Duration) {
+func (m *fleetMember) SendHop(id logic.TxID, host logic.HostID, _ logic.HopLimits) {
 	if _, again := m.openHops[id]; again {
 		m.fleet.err = fmt.Errorf("a transaction got a second hop although every hop commits")
 	}
--- a/tools/scale/gateway.go
+++ b/tools/scale/gateway.go
@@ -85,7 +85,7 @@
 	return g
 }
 
-func (g *simulatedGateway) SendHop(logic.TxID, logic.HostID, time.Duration) { g.hopsSent++ }
+func (g *simulatedGateway) SendHop(logic.TxID, logic.HostID, logic.HopLimits) { g.hopsSent++ }
 
 func (g *simulatedGateway) CallOff(logic.TxID, int)                {}
 func (g *simulatedGateway) RollBack(logic.TxID, time.Duration)     { g.unsuccessful++ }
