A long message that its host does not take ends as its client leaves

Cause: CancelIfUnwritten took a message for written from the moment in which its one write began, which may last until the deadline; and what this machine's socket had taken to its last byte for had by the host.

Change: a write that waits asks every 20 ms whether the exchange was withdrawn; while bytes have not left this machine's socket the last byte has not either, and the exchange is withdrawn at once, its connection reset. The last piece of a body that is passed on ends the same way.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -47,6 +47,7 @@
 
 	mu             sync.Mutex
 	cancelled      bool
+	withdrawing    bool      // CancelIfUnwritten was called
 	lastWriteBegun bool      // the last byte has been written or is about to be
 	writeOverdue   bool      // a write ended with ErrWriteOverdue
 	undelivered    bool      // written, but not delivered by DeliverBy
@@ -106,11 +107,9 @@
 	if w.hostConn.exchange != w.exchange || !w.exchange.beginLastWrite() {
 		return net.ErrClosed
 	}
-	err := w.Write(piece, limit)
+	err := w.Write(piece, WriteLimit{limit.Deadline, func() bool { return limit.StillWanted() && w.exchange.mayWriteOn() }})
 	if errors.Is(err, ErrUnwanted) {
-		w.exchange.mu.Lock()
-		w.exchange.lastWriteBegun = false // the exchange may still be withdrawn
-		w.exchange.mu.Unlock()
+		w.exchange.lastWriteEnded()
 	}
 	if w.hostConn.fullyWritten = err == nil; w.hostConn.fullyWritten {
 		w.exchange.Deadline = earlier(limit.Deadline, time.Now().Add(responseTimeout))
@@ -130,16 +129,30 @@
 	}
 }
 
-// CancelIfUnwritten ends the exchange unless the last byte of the message has been written or is about to be. A host
-// runs nothing before it has that, so the exchange ends with OutcomeWithdrawn.
+// CancelIfUnwritten ends the exchange unless the last byte of the message has left for the host or is about to. A host
+// runs nothing before it has that. A write that waits for the host ends within stillWantedPollInterval.
 func (x *Exchange) CancelIfUnwritten() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancelled = x.cancelled || !x.lastWriteBegun; !x.lastWriteBegun && x.stop != nil {
+	x.withdrawing = true
+	if x.lastWriteBegun && (x.stop == nil || x.hostConn.socket.unsent() == 0) {
+		return
+	}
+	x.cancelled = true
+	if x.stop != nil {
 		x.stop()
 	}
 }
 
+// mayWriteOn reports, between two writes of a message that its host accepts slowly, whether CancelIfUnwritten was not
+// called. The exchange is cancelled otherwise.
+func (x *Exchange) mayWriteOn() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cancelled = x.cancelled || x.withdrawing
+	return !x.cancelled
+}
+
 // beginLastWrite records that the last byte of the message is about to be written. It returns false if the exchange was
 // cancelled before.
 func (x *Exchange) beginLastWrite() bool {
@@ -149,6 +162,16 @@
 	return x.lastWriteBegun
 }
 
+// lastWriteEnded records that the last piece is not written, as it is no longer wanted: the exchange may still be
+// withdrawn, or is now.
+func (x *Exchange) lastWriteEnded() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.lastWriteBegun = false; x.cancelled && x.stop != nil {
+		x.stop()
+	}
+}
+
 // markWriteOverdue records that the host has not accepted the message in time.
 func (x *Exchange) markWriteOverdue() {
 	x.mu.Lock()
--- a/internal/transport/hostconn.go
+++ b/internal/transport/hostconn.go
@@ -52,7 +52,7 @@
 		c.conn.Close() // serve, which reads, ends the exchange
 		return true
 	}
-	err := c.write(x.BuildMessage(), WriteLimit{x.writeDeadline(), func() bool { return true }})
+	err := c.write(x.BuildMessage(), WriteLimit{x.writeDeadline(), x.mayWriteOn})
 	switch {
 	case err != nil:
 		if errors.Is(err, ErrWriteOverdue) {
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -62,16 +62,25 @@
 
 // unacknowledged returns how many bytes of what was written the peer's machine has not acknowledged, 0 if that is not
 // known.
-func (s socketState) unacknowledged() (bytes int) {
-	s.raw.Control(func(fd uintptr) { bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+func (s socketState) unacknowledged() int {
+	bytes, _ := s.queued(unix.SIOCOUTQ)
+	return bytes
+}
+
+// unsent returns how many bytes of what was written have not left this machine, 0 if that is not known.
+func (s socketState) unsent() int {
+	bytes, _ := s.queued(unix.SIOCOUTQNSD)
 	return bytes
 }
 
 // unread returns how many bytes have arrived that no one has read.
-func (s socketState) unread() (bytes int, known bool) {
+func (s socketState) unread() (bytes int, known bool) { return s.queued(unix.SIOCINQ) }
+
+// queued returns the length of one of the socket's queues.
+func (s socketState) queued(request uint) (bytes int, known bool) {
 	s.raw.Control(func(fd uintptr) {
 		var err error
-		bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		bytes, err = unix.IoctlGetInt(int(fd), request)
 		known = err == nil
 	})
 	return bytes, known
