TestSoak draws long bodies, hosts that stop reading or read slowly, and shorter windows

Change: one request in ten has a body of 64 KiB to 32 MiB, by length or in chunks, at once or at 64 kB/s and more; its time counts from its last byte, and some of its clients leave. Hosts stop within a body and go on later, or read slowly. Windows of repeats are a third of the deadline to all of it. Checked beyond what was: nothing of a long request is sent on after its answer, its client's leaving, or the window, as far as the host's own machine can't have held it. The draws have a generator of their own; what a seed drew before it draws still.

--- a/cmd/spanmux/soak_client_test.go
+++ b/cmd/spanmux/soak_client_test.go
@@ -21,13 +21,14 @@
 
 // soakClient is a client with a connection to each gateway.
 type soakClient struct {
-	number   int
-	record   *soakRecord
-	scenario *scenario
-	gateways []*soakGateway
-	random   *rand.Rand
-	conns    [soakGateways]*soakConn
-	requests int
+	number     int
+	record     *soakRecord
+	scenario   *scenario
+	gateways   []*soakGateway
+	random     *rand.Rand
+	longRandom *rand.Rand // for requests with long bodies
+	conns      [soakGateways]*soakConn
+	requests   int
 }
 
 // soakConn is a client's connection.
@@ -78,6 +79,9 @@
 func (c *soakClient) run() {
 	for c.record.now() < soakDuration {
 		time.Sleep(between(c.random, 5*time.Millisecond, 60*time.Millisecond))
+		if c.longRandom.IntN(10) == 0 {
+			c.sendLong(c.longRandom.IntN(soakGateways))
+		}
 		c.send(c.random.IntN(soakGateways))
 	}
 	for gateway := range c.conns {
@@ -188,9 +192,14 @@
 	return false
 }
 
-// readResponse reads the response to a request. It reports whether the connection closes after it.
+// readResponse reads the response to a request that has been sent. It reports whether the connection closes after it.
 func (c *soakClient) readResponse(conn *soakConn, request *requestRecord) (closes bool) {
 	conn.SetReadDeadline(c.record.began.Add(request.sentAt + request.budget + answerSlack + giveUpSlack))
+	return c.readResponseInTime(conn, request)
+}
+
+// readResponseInTime reads the response to a request until the connection's read deadline.
+func (c *soakClient) readResponseInTime(conn *soakConn, request *requestRecord) (closes bool) {
 	defer func() { request.endedAt = c.record.now() }()
 	if _, err := conn.reader.Peek(1); err != nil {
 		request.failure = err.Error()
--- a/cmd/spanmux/soak_host_test.go
+++ b/cmd/spanmux/soak_host_test.go
@@ -48,6 +48,7 @@
 		if err != nil {
 			return
 		}
+		conn.(*net.TCPConn).SetReadBuffer(soakHostBufferBytes)
 		h.mu.Lock()
 		if h.gone {
 			conn.Close()
@@ -107,7 +108,8 @@
 		}
 		attempt.mode = h.mode()
 		h.record.addAttempt(attempt)
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		conn.SetReadDeadline(time.Time{})
+		if err := h.readBody(request, attempt); err != nil {
 			return
 		}
 		h.record.mu.Lock()
--- a/cmd/spanmux/soak_judge_test.go
+++ b/cmd/spanmux/soak_judge_test.go
@@ -11,6 +11,7 @@
 const (
 	socketSlack     = 50 * time.Millisecond  // by which each limit is longer on sockets
 	leaveSlack      = 100 * time.Millisecond // after a client's close in which an attempt may still begin
+	heldUpSlack     = 150 * time.Millisecond // for which a gateway may be held up between reading its clock and writing
 	deadlineSlack   = 150 * time.Millisecond // by which the deadline passed on may be longer than what is left
 	listPropagation = 6 * time.Second        // in which a change of the list counts as told
 	pushAfterMove   = 4 * time.Second        // after which a pushed list counts as told again once discovery has moved
@@ -71,7 +72,7 @@
 func (j *soakJudge) checkAnswer(request requestRecord) {
 	attempts := j.attemptsOf(request)
 	switch {
-	case request.leftAt > 0:
+	case request.leftAt > 0, request.partlySent && request.status == 0:
 	case request.status == 0 && j.mayBeUnanswered(request, attempts):
 	case request.status == 0:
 		j.violate("lost", "%+v, attempts %s", request, describeAttempts(attempts))
@@ -158,6 +159,7 @@
 		}
 	}
 	j.checkEffect(last, attempts)
+	j.checkSentOn(last, attempts)
 }
 
 // checkEffect checks that nothing has run twice that may not, nor was rolled back that ran.
--- a/cmd/spanmux/soak_record_test.go
+++ b/cmd/spanmux/soak_record_test.go
@@ -21,6 +21,8 @@
 	bodyWrong        bool          // a whole answer that no host made
 	timedOut         bool          // the connection was still open as the client gave up
 	afterOthers      bool          // it was sent together with others before it
+	bodyBytes        int           // of a long body
+	partlySent       bool          // its last byte was never written
 	failure          string        // why there was no whole answer
 }
 
@@ -32,6 +34,8 @@
 	firstByteAt time.Duration
 	wholeAt     time.Duration // 0 if its last byte never came
 	expiresIn   time.Duration
+	readsOnAt   time.Duration // when a host that had stopped to read the request went on
+	unreadBytes int64         // of the request at that time, as far as its length was said
 	mode        hostMode
 }
 
--- a/cmd/spanmux/soak_scenario_test.go
+++ b/cmd/spanmux/soak_scenario_test.go
@@ -42,7 +42,9 @@
 	hostResetsInto            // within an answer without a length
 	hostEndsUnsized           // answers without a length, and closes
 	hostAnswersTwice          // sends a second answer some milliseconds later
-	hostModes
+	hostModes                 // the number of those that drawHosts draws
+	hostStopsReading          // within a body, and goes on later
+	hostReadsSlowly
 )
 
 // hostPhase is a mode that a host enters at a time.
@@ -121,6 +123,7 @@
 	if random.IntN(3) == 0 {
 		s.silentAt = between(random, time.Second, soakDuration/2)
 	}
+	s.drawLongWaits()
 	return s
 }
 
--- a/cmd/spanmux/soak_test.go
+++ b/cmd/spanmux/soak_test.go
@@ -60,9 +60,12 @@
 	record.mu.Lock()
 	defer record.mu.Unlock()
 	violations := judge(record, s)
-	served, refused, failed, unanswered := record.outcomes()
+	served, refused, failed, unanswered := outcomes(record.requests)
 	fmt.Printf("%v; requests %d: served %d, refused %d, failed %d, unanswered %d; attempts %d; violations %d\n",
 		s, len(record.requests), served, refused, failed, unanswered, len(record.attempts), len(violations))
+	long := record.longRequests()
+	longServed, longRefused, longFailed, longUnanswered := outcomes(long)
+	fmt.Printf("seed %d: long bodies %d: served %d, refused %d, failed %d, unanswered, partly sent or left %d\n", seed, len(long), longServed, longRefused, longFailed, longUnanswered)
 	if float64(served) < minServedFraction*float64(len(record.requests)) {
 		t.Errorf("seed %d: served %d of %d requests", seed, served, len(record.requests))
 	}
@@ -71,9 +74,19 @@
 	}
 }
 
-// outcomes counts the requests by their outcome.
-func (r *soakRecord) outcomes() (served, refused, failed, unanswered int) {
+// longRequests returns the requests with long bodies.
+func (r *soakRecord) longRequests() (long []requestRecord) {
 	for _, request := range r.requests {
+		if request.bodyBytes > 0 {
+			long = append(long, request)
+		}
+	}
+	return long
+}
+
+// outcomes counts requests by their outcome.
+func outcomes(requests []requestRecord) (served, refused, failed, unanswered int) {
+	for _, request := range requests {
 		switch request.status {
 		case http.StatusOK:
 			served++
@@ -133,7 +146,8 @@
 		}()
 	}
 	newClient := func(number int) *soakClient {
-		return &soakClient{number: number, record: record, scenario: s, gateways: gateways, random: rand.New(rand.NewPCG(s.seed, uint64(number)))}
+		return &soakClient{number: number, record: record, scenario: s, gateways: gateways, random: rand.New(rand.NewPCG(s.seed, uint64(number))),
+			longRandom: rand.New(rand.NewPCG(s.seed, uint64(5000+number)))}
 	}
 	for number := range s.clients {
 		start(newClient(number).run)
