The claim of an ID goes to the next process with the answer that is handed over

Cause: streamEnded took an answer that was handed over for one that is whole and released its ID in the table that both processes share; the next process did not claim it. Evidence: a copy that writes a line at each end of a claim shows it in the old process 10 ms after SIGTERM, 1.5 s before the bad client and 9.6 s before the last byte.

Change: the hand-over record carries the claim; the old process leaves it in the table, the new one adopts it and ends it: released after a whole answer, retained for 10 s after one that was cut off. Handed on again, it goes on with the answer.

--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -101,6 +101,19 @@
 	return true
 }
 
+// Adopt takes over the claim of an ID from another process, which does not end it. It returns false if the transaction is
+// over.
+func (r *Registry) Adopt(id string) bool {
+	bucket, hash := r.bucketOf(id)
+	now := r.at(0)
+	for i := range bucket {
+		if old := entry(bucket[i].Load()); old.has(hash) && old.live(now) {
+			return !old.ended() && bucket[i].CompareAndSwap(uint64(old), uint64(newEntry(hash, false, r.at(openTTL))))
+		}
+	}
+	return r.Claim(id)
+}
+
 // freeSlot returns a slot for an ID and the entry that is in it, or -1 if the ID is in the bucket or no slot can be used.
 // Where all are in use, that of the transaction which has been over longest is.
 func freeSlot(bucket []atomic.Uint64, hash uint64, now entryTime) (slot int, old entry) {
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -85,7 +85,7 @@
 	finalStatus        int                        // of its response; 0 if its client has left
 	streaming          bool                       // its response is being streamed
 	inputPending       bool                       // its client's input is discarded after its response
-	idEnded            bool                       // its trace ID is no longer claimed
+	idEnded            bool                       // its trace ID is no longer claimed, or by the next process
 	hops               []*hop
 	hopsInFlight       int
 }
@@ -234,37 +234,13 @@
 	}
 }
 
-// endID ends the claim of a transaction's trace ID, or corrects how it ended. One that may have run, or may yet, and whose
-// client does not know that, may not come again for a while: it would run twice. The caller holds d.mu.
-func (d *Dispatcher) endID(t *tx) {
-	outcomeKnown := t.finalStatus == 200 || t.finalStatus >= 400 && t.finalStatus < 500
-	switch retain := t.mayHaveRun && !outcomeKnown && t.request.Effect != logic.Idempotent; {
-	case !t.idEnded && retain:
-		d.openIDs.Retain(t.request.TraceID)
-	case !t.idEnded:
-		d.openIDs.Release(t.request.TraceID)
-	case retain:
-		d.openIDs.RetainReleased(t.request.TraceID)
-	}
-	t.idEnded = true
-}
-
-// responseLost records that the client does not have the whole of the final response.
-func (d *Dispatcher) responseLost(t *tx) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t.finalStatus = 0
-	if t.idEnded { // before the response was written, so that the client may use it again as soon as it has that
-		d.endID(t)
-	}
-}
-
-// streamEnded records that a response is no longer being streamed.
-func (d *Dispatcher) streamEnded(t *tx, err error) {
+// streamEnded records that a response is no longer being streamed by this process.
+func (d *Dispatcher) streamEnded(t *tx, handedOver bool, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.streaming = false
-	if err != nil { // its client does not have all of it
+	t.idEnded = t.idEnded || handedOver // it is the next process that ends the claim
+	if err != nil {                     // its client does not have all of it
 		t.finalStatus = 0
 	}
 	d.removeIfFinished(t)
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -26,9 +26,10 @@
 	Host                 logic.HostID
 	Body                 protocol.BodyState
 	Framing              protocol.StreamFraming
-	ClosesClient         bool `json:"Closing"` // the client's connection closes after the response
-	FullyRead            bool `json:"Last"`    // the host has sent everything
-	RequestsLearnedState bool `json:"Asks"`    // requests the learned state; nothing is handed over
+	ClosesClient         bool     `json:"Closing"`    // the client's connection closes after the response
+	FullyRead            bool     `json:"Last"`       // the host has sent everything
+	RequestsLearnedState bool     `json:"Asks"`       // requests the learned state; nothing is handed over
+	Claim                *idClaim `json:",omitempty"` // of the transaction's trace ID
 }
 
 // ListenForHandover listens at path for connections that the previous process hands over; this process
@@ -92,11 +93,15 @@
 	client, host := conns[0], conns[1]
 	d.Counters.Adopted.Add(1)
 	d.Counters.OpenTransactions.Add(1)
+	claim := d.adoptClaim(record.Claim)
 	d.listener.Adopt(client, func(c *transport.Client) {
 		stream := &responseStream{traceID: record.Trace, startedAt: time.Now(), client: c, hostConn: host, hostID: record.Host, body: body,
-			readAhead: adoptedReadAhead(d.responseMemory, received), framing: record.Framing, closesClient: record.ClosesClient, requestComplete: true, fullyRead: record.FullyRead}
+			readAhead: adoptedReadAhead(d.responseMemory, received), framing: record.Framing, closesClient: record.ClosesClient, requestComplete: true, fullyRead: record.FullyRead, claim: func() *idClaim { return claim }}
 		handedOver, err := d.forwardStream(stream)
 		host.Close()
+		if !handedOver {
+			d.endAdoptedClaim(claim, err != nil)
+		}
 		d.Counters.OpenTransactions.Add(-1)
 		switch {
 		case handedOver:
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -218,9 +218,9 @@
 	response.Body = nil
 	closing = closing || framing == protocol.FramingClose
 	stream := &responseStream{traceID: t.request.TraceID, startedAt: h.sentAt, client: t.client, hostConn: h.exchange.HostConn(), hostID: h.hostID, body: body, pending: head, readAhead: readAhead{budget: d.responseMemory},
-		framing: framing, closesClient: closing, requestComplete: bodyReceived && !t.pipelined}
+		framing: framing, closesClient: closing, requestComplete: bodyReceived && !t.pipelined, claim: func() *idClaim { return d.claimOf(t) }}
 	handedOver, err := d.forwardStream(stream)
-	d.streamEnded(t, err)
+	d.streamEnded(t, handedOver, err)
 	if err != nil {
 		if d.Counters.ResponsesCutOff.Add(1); framing == protocol.FramingClose { // otherwise it would look complete
 			t.client.Reset()
--- a/internal/routing/stream.go
+++ b/internal/routing/stream.go
@@ -30,10 +30,11 @@
 	receiveBufferRaised bool        // the receive buffer of hostConn was enlarged
 	lastWriteAt         time.Time   // when the client last read something
 	framing             protocol.StreamFraming
-	closesClient        bool  // the client's connection closes after the response
-	requestComplete     bool  // no input of the client's request is outstanding, and none of its next is read
-	fullyRead           bool  // the whole response was read
-	readErr             error // the response ended early
+	closesClient        bool            // the client's connection closes after the response
+	requestComplete     bool            // no input of the client's request is outstanding, and none of its next is read
+	fullyRead           bool            // the whole response was read
+	readErr             error           // the response ended early
+	claim               func() *idClaim // of its transaction's trace ID; returns nil if this process has none
 }
 
 // forwardStream writes what is pending of a streamed response, then the rest of it as it comes. When
@@ -50,7 +51,7 @@
 	for {
 		if mayHandOver && s.readErr == nil && d.closing.Load() && !s.client.Pipelined() {
 			mayHandOver = false
-			record, err := json.Marshal(handoverRecord{Trace: s.traceID, Host: s.hostID, Body: s.body.State(), Framing: s.framing, ClosesClient: s.closesClient, FullyRead: s.fullyRead})
+			record, err := json.Marshal(handoverRecord{Trace: s.traceID, Host: s.hostID, Body: s.body.State(), Framing: s.framing, ClosesClient: s.closesClient, FullyRead: s.fullyRead, Claim: s.claim()})
 			unsent := append(slices.Clone(s.pending), s.readAhead.pieces...)
 			if err == nil && transport.HandOverClient(d.handoverPath, record, unsent, s.client, s.hostConn) {
 				d.Counters.HandedOver.Add(1)
