The ID of an open transaction is a lease: that of a killed process is free after 12 s

Callers saw: the IDs of a process that was killed were refused (409) for 15 minutes, as their entries in the shared table had a fixed expiry, longer than any transaction lasts.

Change: Claim gives an entry 12 s; the process renews the entries of its open transactions each second, also of those that it adopted, and stops as it hands them over or ends them. A killed process's IDs stay refused for 10 s at least, as a host may still run them. Entries of earlier versions, up to 15 minutes, stay valid.

--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -24,24 +25,37 @@
 	endedFlag = 1 << timeBits // the transaction is over
 	idMask    = math.MaxUint64 &^ (1<<(timeBits+1) - 1)
 
-	// openTTL bounds how long the ID of an open transaction is kept should its process die: longer than any
-	// transaction lasts.
-	openTTL = 15 * time.Minute
+	// RenewInterval is the interval between two calls of Renew.
+	RenewInterval = time.Second
+	// leaseTTL is how long the ID of an open transaction is kept without Renew. If its process dies, a host may still run
+	// the transaction: the ID is kept for endedTTL at least, though one call of Renew was late.
+	leaseTTL = endedTTL + 2*RenewInterval
+	// maxTTL is the longest that an entry may have left, which earlier versions give open transactions.
+	maxTTL = 15 * time.Minute
 	// endedTTL is how long the ID of a transaction that is over is kept, as a host may still run it: longer than the
 	// deadlines of transactions, and than a process and its successor run side by side.
 	endedTTL = 10 * time.Second
 )
 
-// Registry holds the IDs of transactions. Its methods may be called from any goroutine.
+// Registry holds the IDs of transactions. Its methods may be called from any goroutine. The claim of an open transaction
+// is a lease, which Renew extends: those of a process that has died expire.
 type Registry struct {
 	table []atomic.Uint64
 	now   func() time.Duration // on a clock that all processes which use the table share
+
+	mu     sync.Mutex
+	leases map[*atomic.Uint64]uint64 // hashes of the IDs that this process has claimed, by entry
 }
 
 // New returns a registry for this process alone.
 func New() *Registry {
 	began := time.Now()
-	return &Registry{make([]atomic.Uint64, tableEntries), func() time.Duration { return time.Since(began) }}
+	return newRegistry(make([]atomic.Uint64, tableEntries), func() time.Duration { return time.Since(began) })
+}
+
+// newRegistry returns a registry with a table and a clock.
+func newRegistry(table []atomic.Uint64, now func() time.Duration) *Registry {
+	return &Registry{table: table, now: now, leases: map[*atomic.Uint64]uint64{}}
 }
 
 // entryTime is a time in timeUnits, modulo 1<<timeBits.
@@ -72,7 +86,7 @@
 // may have made it a little after that time.
 func (e entry) live(at entryTime) bool {
 	left := e.left(at)
-	return e != 0 && left > 0 && left <= uint64((openTTL+time.Second)/timeUnit)
+	return e != 0 && left > 0 && left <= uint64((maxTTL+time.Second)/timeUnit)
 }
 
 // bucketOf returns the entries among which an ID is, and its hash.
@@ -87,7 +101,7 @@
 func (r *Registry) Claim(id string) bool {
 	bucket, hash := r.bucketOf(id)
 	now := r.at(0)
-	claimed := newEntry(hash, false, r.at(openTTL))
+	claimed := newEntry(hash, false, r.at(leaseTTL))
 	slot, old := freeSlot(bucket, hash, now)
 	if slot < 0 || !bucket[slot].CompareAndSwap(uint64(old), uint64(claimed)) {
 		return false
@@ -98,6 +112,7 @@
 			return false
 		}
 	}
+	r.addLease(&bucket[slot], hash)
 	return true
 }
 
@@ -107,13 +122,68 @@
 	bucket, hash := r.bucketOf(id)
 	now := r.at(0)
 	for i := range bucket {
-		if old := entry(bucket[i].Load()); old.has(hash) && old.live(now) {
-			return !old.ended() && bucket[i].CompareAndSwap(uint64(old), uint64(newEntry(hash, false, r.at(openTTL))))
+		if e := entry(bucket[i].Load()); e.has(hash) && e.live(now) {
+			r.addLease(&bucket[i], hash)
+			return r.renewEntry(&bucket[i], hash)
 		}
 	}
 	return r.Claim(id)
 }
 
+// HandOver leaves the claim of an ID to another process, which adopts it. The other process has leaseTTL for that.
+func (r *Registry) HandOver(id string) {
+	bucket, hash := r.bucketOf(id)
+	r.dropLease(bucket, hash)
+}
+
+// Renew extends the leases of this process.
+func (r *Registry) Renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for word, hash := range r.leases { // the order does not matter
+		r.renewEntryLocked(word, hash)
+	}
+}
+
+// renewEntry extends the lease in an entry. It returns false, and drops the lease, if the claim has ended.
+func (r *Registry) renewEntry(word *atomic.Uint64, hash uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.renewEntryLocked(word, hash)
+}
+
+// renewEntryLocked is renewEntry for a caller that holds the lock.
+func (r *Registry) renewEntryLocked(word *atomic.Uint64, hash uint64) bool {
+	for {
+		old := entry(word.Load())
+		if !old.has(hash) || old.ended() {
+			delete(r.leases, word)
+			return false
+		}
+		if word.CompareAndSwap(uint64(old), uint64(newEntry(hash, false, r.at(leaseTTL)))) {
+			return true
+		}
+	}
+}
+
+// addLease records that this process holds the lease in an entry.
+func (r *Registry) addLease(word *atomic.Uint64, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leases[word] = hash
+}
+
+// dropLease records that this process no longer holds the lease of an ID.
+func (r *Registry) dropLease(bucket []atomic.Uint64, hash uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range bucket {
+		if r.leases[&bucket[i]] == hash {
+			delete(r.leases, &bucket[i])
+		}
+	}
+}
+
 // freeSlot returns a slot for an ID and the entry that is in it, or -1 if the ID is in the bucket or no slot can be used.
 // Where all are in use, that of the transaction which has been over longest is.
 func freeSlot(bucket []atomic.Uint64, hash uint64, now entryTime) (slot int, old entry) {
@@ -152,10 +222,12 @@
 // replace replaces the entry of an ID, if it is there.
 func (r *Registry) replace(id string, with entry) {
 	bucket, hash := r.bucketOf(id)
+	r.dropLease(bucket, hash)
 	for i := range bucket {
-		if old := bucket[i].Load(); old != 0 && entry(old).has(hash) {
-			bucket[i].CompareAndSwap(old, uint64(with))
-			return
+		for old := entry(bucket[i].Load()); old.has(hash); old = entry(bucket[i].Load()) { // another process may renew it meanwhile
+			if bucket[i].CompareAndSwap(uint64(old), uint64(with)) {
+				return
+			}
 		}
 	}
 }
--- a/internal/openids/registry_test.go
+++ b/internal/openids/registry_test.go
@@ -32,8 +32,15 @@
 	fmt.Println("released, then retained:", r.Claim("a"))
 	*now += endedTTL
 	fmt.Println("later:", r.Claim("a"))
-	*now += openTTL
+	for range 100 {
+		*now += RenewInterval
+		r.Renew()
+	}
+	fmt.Println("open for long:", r.Claim("a"))
+	*now += endedTTL
 	fmt.Println("its process has died:", r.Claim("a"))
+	*now += 2 * RenewInterval
+	fmt.Println("later:", r.Claim("a"))
 	// Output:
 	// claimed: true again: false another: true
 	// released: true
@@ -41,6 +48,43 @@
 	// later: true
 	// released, then retained: false
 	// later: true
+	// open for long: false
+	// its process has died: false
+	// later: true
+}
+
+// The claim of an ID that goes to another process is that one's to renew and to end.
+func ExampleRegistry_Adopt() {
+	before, now := newTestRegistry()
+	after := newRegistry(before.table, before.now)
+	another := newRegistry(before.table, before.now)
+	wait := func(renewers ...*Registry) {
+		for range 30 {
+			*now += RenewInterval
+			for _, r := range renewers {
+				r.Renew()
+			}
+		}
+	}
+	fmt.Println("claimed:", before.Claim("a"), "adopted:", after.Adopt("a"))
+	before.HandOver("a")
+	wait(after)
+	fmt.Println("handed over:", another.Claim("a"))
+	after.Release("a")
+	before.Renew()
+	fmt.Println("ended:", another.Claim("a"))
+	another.Retain("a")
+	fmt.Println("retained:", after.Adopt("a"), after.Claim("a"))
+	wait()
+	fmt.Println("not claimed by another version:", after.Adopt("a"), another.Claim("a"))
+	wait(before, another)
+	fmt.Println("its process has died:", another.Claim("a"))
+	// Output:
+	// claimed: true adopted: true
+	// handed over: false
+	// ended: true
+	// retained: false false
+	// not claimed by another version: true false
 	// its process has died: true
 }
 
@@ -83,7 +127,7 @@
 		if !r.Claim(id) || r.Claim(id) {
 			t.Fatalf("wrong claim at %v", *now)
 		}
-		*now += openTTL + 2*time.Second
+		*now += leaseTTL + 2*timeUnit
 		if !r.Claim(id) {
 			t.Fatalf("expired entry is live at %v", *now)
 		}
--- a/internal/openids/shared.go
+++ b/internal/openids/shared.go
@@ -26,7 +26,7 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	table := unsafe.Slice((*atomic.Uint64)(unsafe.Pointer(unsafe.SliceData(memory))), tableEntries)
-	return &Registry{table, monotonicTime}, nil
+	return newRegistry(table, monotonicTime), nil
 }
 
 // openTable opens the file, and creates it if it is not there. A new file is written in full before it has its name:
--- a/internal/routing/claim.go
+++ b/internal/routing/claim.go
@@ -1,12 +1,15 @@
 package routing
 
 import (
+	"time"
+
 	"spanmux/internal/openids"
 	"spanmux/logic"
 )
 
 // The claims of trace IDs: a transaction claims its ID as it is admitted (startTransaction) and ends the claim once it is
-// over. The claim of one whose response is streamed goes over to the next process with the response.
+// over. The claim of one whose response is streamed goes over to the next process with the response. Claims are leases: those
+// of a process that is killed expire.
 
 // endID ends the claim of a transaction's trace ID, or corrects how it ended. One that may have run, or may yet, and whose
 // client does not know that, may not come again for a while: it would run twice. The caller holds d.mu.
@@ -57,10 +60,12 @@
 	return claim
 }
 
-// endAdoptedClaim ends the claim of an adopted response, which was whole or was cut off.
-func (d *Dispatcher) endAdoptedClaim(claim *idClaim, cutOff bool) {
+// endAdoptedClaim ends the claim of an adopted response, which was handed on, cut off, or forwarded whole.
+func (d *Dispatcher) endAdoptedClaim(claim *idClaim, handedOver, cutOff bool) {
 	switch {
 	case claim == nil:
+	case handedOver:
+		d.idRegistry().HandOver(string(claim.TraceID))
 	case claim.HasEffect && (cutOff || claim.MayStillRun):
 		d.idRegistry().Retain(string(claim.TraceID))
 	default:
@@ -74,3 +79,11 @@
 	defer d.mu.Unlock()
 	return d.openIDs
 }
+
+// renewClaims renews the leases of this process, for as long as it runs.
+func (d *Dispatcher) renewClaims() {
+	for {
+		time.Sleep(openids.RenewInterval)
+		d.idRegistry().Renew()
+	}
+}
--- a/internal/routing/dispatcher.go
+++ b/internal/routing/dispatcher.go
@@ -239,8 +239,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.streaming = false
-	t.idEnded = t.idEnded || handedOver // it is the next process that ends the claim
-	if err != nil {                     // its client does not have all of it
+	if handedOver { // it is the next process that ends the claim
+		d.openIDs.HandOver(t.request.TraceID)
+		t.idEnded = true
+	}
+	if err != nil { // its client does not have all of it
 		t.finalStatus = 0
 	}
 	d.removeIfFinished(t)
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -99,9 +99,7 @@
 			readAhead: adoptedReadAhead(d.responseMemory, received), framing: record.Framing, closesClient: record.ClosesClient, requestComplete: true, fullyRead: record.FullyRead, claim: func() *idClaim { return claim }}
 		handedOver, err := d.forwardStream(stream)
 		host.Close()
-		if !handedOver {
-			d.endAdoptedClaim(claim, err != nil)
-		}
+		d.endAdoptedClaim(claim, handedOver, err != nil)
 		d.Counters.OpenTransactions.Add(-1)
 		switch {
 		case handedOver:
--- a/internal/routing/run.go
+++ b/internal/routing/run.go
@@ -131,6 +131,7 @@
 		d.core.Start(d, now, seed, predecessorActiveUntil)
 		close(d.started)
 	})
+	go d.renewClaims()
 }
 
 // Serve accepts clients until Close. With a shared listener it accepts none before there is a host
