A host whose address another one has taken is gone; no repeat where either may have run

Cause: hosts were known by their IDs alone; what was meant for the dead one went to its address, and ran at the other, whose cell is another.

Hops that reach the successor count as its load and cold budget. New: counter hosts_superseded and a log line.

--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -56,6 +56,8 @@
 	// Calls repeated immediately after an interrupted watch; lists not applied because they were
 	// older than the current one.
 	ListCallsRetried, ListsStale counter
+	// HostsSuperseded counts listed hosts at whose address another one has started.
+	HostsSuperseded counter
 
 	// Datagrams to and from other gateways.
 	PeerMessages, PeerMessagesReceived, PeerMessagesInvalid counter
@@ -166,7 +168,7 @@
 		{"hops_called_off", &counters.HopOutcomes[logic.HopCalledOff]}, {"hops_declined", &counters.HopOutcomes[logic.HopNotRun]},
 		{"probes", &counters.Probes}, {"probes_answered", &counters.ProbesAnswered},
 		{"lists", &counters.ListCalls}, {"lists_lost", &counters.ListCallsFailed}, {"lists_again", &counters.ListCallsRetried},
-		{"lists_older", &counters.ListsStale}, {"tells", &counters.PeerMessages}, {"tells_unsent", &counters.PeerMessagesUnsent},
+		{"lists_older", &counters.ListsStale}, {"hosts_superseded", &counters.HostsSuperseded}, {"tells", &counters.PeerMessages}, {"tells_unsent", &counters.PeerMessagesUnsent},
 		{"asks", &counters.PickRequests}, {"asks_answered", &counters.PickResponses}, {"told", &counters.PeerMessagesReceived}, {"told_wrong", &counters.PeerMessagesInvalid}, {"wrong_input", &counters.InvalidInputs},
 		{"clients_accepted", &d.listener.Accepted}, {"clients_crowded", &d.listener.AcceptedOverLimit},
 		{"clients_gave_way", &d.listener.Evicted},
--- a/internal/routing/host_list.go
+++ b/internal/routing/host_list.go
@@ -1,9 +1,7 @@
 package routing
 
 import (
-	"hash/crc32"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,30 +10,6 @@
 	"spanmux/logic"
 )
 
-// discoveryState is what is known of the host list, and the state of the calls to discovery.
-// Dispatcher.mu guards it.
-type discoveryState struct {
-	conn            *transport.DiscoveryConn // used by the watch alone
-	oldConn         *transport.DiscoveryConn // to the previous address of discovery, until the new one answers
-	revision        int64
-	hasList         bool // there is a list from the current address
-	watching        bool
-	idByUID         map[string]logic.HostID
-	uidByID         map[logic.HostID]string
-	addrByID        map[logic.HostID]string
-	drainingBootMS  map[logic.HostID]int64 // start times of the listed hosts that drain
-	bootMS          map[logic.HostID]int64 // start times of the listed hosts, where known
-	random          *rand.Rand
-	backoffTimer    *time.Timer // until a failed call is repeated, whatever the core decides
-	failureReported bool        // a failed call was reported to the core, which has not requested the list since
-}
-
-// newDiscoveryState returns the state without a list.
-func newDiscoveryState() discoveryState {
-	return discoveryState{idByUID: map[string]logic.HostID{}, uidByID: map[logic.HostID]string{}, addrByID: map[logic.HostID]string{},
-		drainingBootMS: map[logic.HostID]int64{}, bootMS: map[logic.HostID]int64{}}
-}
-
 // filterList decides what of a list is applied; it returns false if nothing is. From the previous
 // address of discovery only draining and removal of hosts is kept. A list older than the current one,
 // as a restarted or lagging discovery may send, is not applied, and the whole list is requested. If
@@ -80,109 +54,54 @@
 			d.closeOldDiscovery()
 			d.discovery.revision, d.discovery.hasList = list.Revision, true
 		}
-		var hosts []logic.Host
-		var restarted []transport.Target
-		anyDraining := false
-		targetsBefore := d.discovery.targets()
-		if kind != logic.ListChanges {
-			d.discovery.addrByID, d.discovery.drainingBootMS = map[logic.HostID]string{}, map[logic.HostID]int64{}
-		}
-		for i := range list.Hosts {
-			entry := &list.Hosts[i]
-			id, ok := d.discovery.hostIDFor(entry.UID)
-			if !ok {
-				if d.Counters.warningLimiter.allow() {
-					d.afterUnlock(func() { slog.Error("host ignored: its id is that of another host", "uid", entry.UID, "id", id) })
-				}
-				continue
-			}
-			host := entry.Host(id, d.coreClockTime)
-			if d.discovery.addrByID[id] = entry.Endpoint; host.State == logic.HostGone {
-				delete(d.discovery.addrByID, id)
-			}
-			if d.discovery.restarted(id, entry.BootMS) {
-				restarted = append(restarted, d.discovery.targetOf(id))
-			}
-			if delete(d.discovery.drainingBootMS, id); host.State == logic.HostDraining {
-				d.discovery.drainingBootMS[id], anyDraining = entry.BootMS, true
-			}
-			hosts = append(hosts, host)
-		}
-		for uid, id := range d.discovery.idByUID { // the order doesn't matter
-			if _, listed := d.discovery.addrByID[id]; !listed {
-				delete(d.discovery.bootMS, id)
-				delete(d.discovery.idByUID, uid)
-				delete(d.discovery.uidByID, id)
-			}
-		}
-		targetsAfter := d.discovery.targets()
+		applied := d.discovery.apply(kind, d.placements(list))
 		d.afterUnlock(func() {
 			if kind != logic.ListChanges || len(list.Hosts) > 0 {
 				slog.Info("host list received", "revision", list.Revision, "full", kind != logic.ListChanges, "entries", len(list.Hosts))
 			}
-			for target := range targetsBefore { // the order doesn't matter
-				if !targetsAfter[target] {
-					d.pool.CloseIdleTo(target)
-				}
-			}
-			for _, target := range restarted { // its connections are those of a process that has ended
-				d.pool.CloseIdleTo(target)
-			}
-			if anyDraining { // what such hosts have not sent yet may be lost with them
-				d.interruptStreams()
-			}
-			d.hasHostList.Store(true)
-			if kind == logic.ListCached { // it may be old, and its hosts long removed
-				time.AfterFunc(freshListTimeout, d.markListReceived)
-			} else {
-				d.markListReceived()
-			}
+			d.listApplied(kind, &applied)
 		})
-		d.core.HostListReceived(now, kind, hosts)
+		d.core.HostListReceived(now, kind, applied.hosts)
 		if kind != logic.ListChanges {
 			d.importPredecessorState(now)
 		}
 	})
 }
 
-// targetOf returns where connections to a host go; the address is empty if it is not known.
-func (s *discoveryState) targetOf(id logic.HostID) transport.Target {
-	return transport.Target{HostID: uint32(id), Addr: s.addrByID[id]}
-}
-
-// acceptsNewHops reports whether a host is listed and does not drain.
-func (s *discoveryState) acceptsNewHops(id logic.HostID) bool {
-	_, listed := s.addrByID[id]
-	_, drains := s.drainingBootMS[id]
-	return listed && !drains
-}
-
-// restarted records the start time of a listed host, and reports whether it has started anew since it was last listed.
-func (s *discoveryState) restarted(id logic.HostID, bootMS int64) bool {
-	before, known := s.bootMS[id]
-	s.bootMS[id] = bootMS
-	return known && before != bootMS
-}
-
-// targets returns the targets of all listed hosts.
-func (s *discoveryState) targets() map[transport.Target]bool {
-	all := map[transport.Target]bool{}
-	for id := range s.addrByID {
-		all[s.targetOf(id)] = true
+// placements returns the entries of a list for the address table. An entry whose id is that of another host is left out.
+func (d *Dispatcher) placements(list *protocol.HostList) []logic.Placement {
+	placements := make([]logic.Placement, 0, len(list.Hosts))
+	for i := range list.Hosts {
+		entry := &list.Hosts[i]
+		id, ok := d.discovery.hostIDFor(entry.UID)
+		if ok {
+			placements = append(placements, logic.Placement{Host: entry.Host(id, d.coreClockTime), Address: entry.Endpoint, StartedMS: entry.BootMS})
+		} else if d.Counters.warningLimiter.allow() {
+			d.afterUnlock(func() { slog.Error("host ignored: its id is that of another host", "uid", entry.UID, "id", id) })
+		}
 	}
-	return all
+	return placements
 }
 
-// hostIDFor returns the ID of a host, a checksum of its UID alone, as gateways refer to hosts by it
-// in peer messages. 0 stands for no host. It returns false if another host has the same ID.
-func (s *discoveryState) hostIDFor(uid string) (logic.HostID, bool) {
-	if id, known := s.idByUID[uid]; known {
-		return id, true
+// listApplied does what follows a list outside the lock: it closes idle connections to hosts that are no longer there.
+func (d *Dispatcher) listApplied(kind logic.ListKind, applied *appliedList) {
+	for _, host := range applied.superseded {
+		if d.Counters.HostsSuperseded.Add(1); d.Counters.warningLimiter.allow() {
+			slog.Info("host superseded at its address", "uid", host.uid, "by", host.successorUID, "address", host.address)
+		}
+	}
+	for _, targets := range [][]transport.Target{applied.removed, applied.restarted} {
+		for _, target := range targets {
+			d.pool.CloseIdleTo(target)
+		}
+	}
+	if applied.anyDraining { // what such hosts have not sent yet may be lost with them
+		d.interruptStreams()
 	}
-	id := logic.HostID(max(1, crc32.ChecksumIEEE([]byte(uid))))
-	if other, used := s.uidByID[id]; used && other != uid {
-		return id, false
+	d.hasHostList.Store(true)
+	if kind == logic.ListCached { // it may be old, and its hosts long removed
+		time.AfterFunc(freshListTimeout, d.markListReceived)
+	} else {
+		d.markListReceived()
 	}
-	s.idByUID[uid], s.uidByID[id] = id, uid
-	return id, true
 }
--- /dev/null
+++ b/logic/location.go
@@ -0,0 +1,100 @@
+package logic
+
+import "slices"
+
+// location is the zone and the cell of a host, as far as they are certain. They tell which hosts drop a repeat of what
+// has run there.
+type location struct {
+	zone                         string
+	cell                         int
+	zoneUncertain, cellUncertain bool
+}
+
+// location returns where a host is.
+func (h *Host) location() location {
+	return location{h.Zone, h.Cell, h.ZoneUncertain, h.CellUncertain}
+}
+
+// mayBe makes uncertain what another location, which may be the true one, has otherwise.
+func (l *location) mayBe(other location) {
+	l.zoneUncertain = l.zoneUncertain || other.zoneUncertain || l.zone != other.zone
+	l.cellUncertain = l.cellUncertain || other.cellUncertain || l.cell != other.cell
+}
+
+// sharesRepeats reports whether a host at one location surely drops a repeat of what has run at the other.
+func (l location) sharesRepeats(other location, scope DedupScope) bool {
+	switch scope {
+	case DedupSameZone:
+		return !l.zoneUncertain && !other.zoneUncertain && l.zone == other.zone
+	case DedupSameCell:
+		return !l.cellUncertain && !other.cellUncertain && l.cell == other.cell
+	}
+	return true
+}
+
+// locationChange is a host whose hops may have run at another location than the one that they were sent to: the list told
+// late that the host has moved, or that another one has superseded it.
+type locationChange struct {
+	host      *host
+	actual    location
+	successor HostID // 0 for a host that has moved
+}
+
+// locationChanges returns the changes that a list makes to the known hosts.
+func (b *Balancer) locationChanges(listed []Host) (changes []locationChange) {
+	for i := range listed {
+		entry := &listed[i]
+		h := b.hosts.byID[entry.ID]
+		switch {
+		case h == nil:
+		case entry.SupersededBy != nil:
+			changes = append(changes, locationChange{h, entry.SupersededBy.location(), entry.SupersededBy.ID})
+		case entry.State != HostGone && entry.location() != h.location():
+			changes = append(changes, locationChange{h, entry.location(), 0})
+		}
+	}
+	return changes
+}
+
+// applyLocationChanges applies changes to the hops of open transactions.
+func (b *Balancer) applyLocationChanges(changes []locationChange) {
+	for _, change := range changes {
+		for _, t := range b.txs { // in any order: each transaction by itself
+			for i := range t.hops {
+				if t.hops[i].host == change.host {
+					t.hops[i].location.mayBe(change.actual)
+				}
+			}
+		}
+		if successor := b.hosts.readyHost(change.successor); successor != nil {
+			b.moveHops(change.host, successor)
+		}
+	}
+}
+
+// moveHops moves the hops that were sent to a host after its successor had started to the successor: they reach that one,
+// count as load there, and use its budget while it is cold.
+func (b *Balancer) moveHops(old, successor *host) {
+	if successor.StartedAt == 0 {
+		return
+	}
+	for _, sentAt := range append(old.warmHopTimes, old.coldHopTimes...) {
+		if sentAt >= successor.StartedAt {
+			successor.coldHopTimes = append(successor.coldHopTimes, sentAt)
+		}
+	}
+	slices.Sort(successor.coldHopTimes)
+	if successor.ownInFlight == 0 {
+		successor.unansweredSince = b.now
+	}
+	for _, t := range b.txs { // in any order: a sum
+		for i := range t.hops {
+			if hop := &t.hops[i]; hop.host == old && !hop.ended && hop.sentAt >= successor.StartedAt {
+				hop.host = successor
+				old.ownInFlight -= t.inFlightPerHop
+				successor.ownInFlight += t.inFlightPerHop
+			}
+		}
+	}
+	b.markUnsent(successor)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -327,12 +327,14 @@
 			b.executor.RequestHostList)
 		return
 	}
+	changes := b.locationChanges(hosts)
 	// The health of new and restarted hosts starts from its defaults, but their hops in flight still count.
 	for _, host := range b.hosts.merge(kind, hosts, b.isGone) {
 		host.health = health{weight: 1, latencyRatio: 1,
 			serviceTimeRatio: movingAverage{1, priorServiceTimeRatioSamples},
 			profileBreakers:  make([]breaker, len(b.profiles))}
 	}
+	b.applyLocationChanges(changes)
 	for _, entry := range hosts {
 		b.closeIdleIfNotReady(entry)
 	}
@@ -370,7 +372,7 @@
 	budgetFraction := ternary(b.now < b.coldRule.PredecessorActiveUntil, 1-ownColdBudgetFraction,
 		ownColdBudgetFraction) / float64(b.topology.GatewayCount)
 	budget := capacityFraction * b.coldRule.OverloadMultiple * hopsPerNs * float64(b.coldRule.OverloadDuration)
-	hopLimit, sent := budgetFraction*budget, h.coldHopsSince(b.now-b.coldRule.OverloadDuration)
+	hopLimit, sent := budgetFraction*budget, h.coldHopTimes.dropUntil(b.now-b.coldRule.OverloadDuration)
 	// If this gateway's part of a large budget is below one hop, it may send one with a probability equal to the
 	// capacity fraction that the host has reached.
 	if !b.judgesByZone() && budget >= coldHopBudgetDivisor {
@@ -854,16 +856,18 @@
 	if slices.ContainsFunc(t.hops, func(used hop) bool { return used.host == h }) {
 		return false
 	}
-	ranOn := t.possiblyRunHop()
 	switch {
-	case ranOn == nil || t.profileConfig.Effect == Idempotent:
+	case t.possiblyRunHop() == nil || t.profileConfig.Effect == Idempotent:
 		return true
 	case t.profileConfig.Effect == NonIdempotent || t.repeatWindowLeft(now) <= 0:
 		return false
 	}
-	return t.profileConfig.DedupScope == DedupAllHosts ||
-		t.profileConfig.DedupScope == DedupSameZone && h.Zone == ranOn.host.Zone ||
-		t.profileConfig.DedupScope == DedupSameCell && h.Cell == ranOn.host.Cell
+	for i := range t.hops {
+		if t.hops[i].mayHaveRun() && !t.hops[i].location.sharesRepeats(h.location(), t.profileConfig.DedupScope) {
+			return false
+		}
+	}
+	return true
 }
 
 // repeatWindowLeft returns for how long hosts still drop a repeat of a transaction that may have run, 0 if it can't have
@@ -1031,9 +1035,7 @@
 
 // sendHop sends a hop of a transaction to a host and updates the counts of both.
 func (b *Balancer) sendHop(t *tx, h *host) {
-	if b.isCold(h) {
-		h.coldHopTimes = append(h.coldHopTimes, b.now)
-	}
+	b.recordHopTime(h)
 	h.ownInFlight += t.inFlightPerHop
 	h.unansweredSince = ternary(h.ownInFlight == 1, b.now, h.unansweredSince)
 	if inFlight := h.ownInFlight + h.peersInFlight; b.slotsUnknown(h) && inFlight >= minInFlightToProbe &&
@@ -1046,7 +1048,7 @@
 	h.connectionUnproven = ternary(h.ownInFlight == 1, h.lastUsedAt == 0 || idle > 0, h.connectionUnproven)
 	h.lastUsedAt, t.hopsInFlight = b.now, t.hopsInFlight+1
 	t.hops = append(t.hops,
-		hop{host: h, sentAt: b.now, connectionIdle: idle, hostInFlight: h.inFlight(), onFailure: func() {
+		hop{host: h, location: h.location(), sentAt: b.now, connectionIdle: idle, hostInFlight: h.inFlight(), onFailure: func() {
 			if t.hopsInFlight == 0 && !b.retry(t) {
 				b.finishTransaction(t)
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -887,6 +887,9 @@
 	for i := range listed {
 		entry := &listed[i]
 		h := t.byID[entry.ID]
+		if h == nil && entry.State == HostGone {
+			continue
+		}
 		membershipChanged = membershipChanged || h == nil || entry.State != h.State || entry.Zone != h.Zone
 		if h == nil || entry.State == HostReady && h.StartedAt != entry.StartedAt {
 			if h == nil {
@@ -901,7 +904,7 @@
 				t.kinds[entry.Kind] = h.kindStats
 			}
 		}
-		if entry.State == HostGone && !isGone(h) {
+		if entry.State == HostGone && entry.SupersededBy == nil && !isGone(h) {
 			continue
 		}
 		h.Host = *entry
@@ -1051,7 +1054,8 @@
 	noConnectUntil     time.Duration        // no new connection is tried before, as one has failed
 	unsentOutcomes     []PeerEntry          // of own hops, for the zone coordinator
 	health
-	coldHopTimes []time.Duration // when hops were sent within the last OverloadDuration while it was cold
+	coldHopTimes recentTimes // when hops were sent within the last OverloadDuration while it was cold
+	warmHopTimes recentTimes // the same while it was not, where hosts start cold
 }
 
 // health is what hops and reports have shown of a host. It begins anew when the host starts again.
@@ -1244,12 +1248,26 @@
 	return h.StartedAt > 0 && b.now-h.StartedAt < b.coldRule.WarmUpDuration+b.coldRule.StartTimeTolerance
 }
 
-// coldHopsSince returns how many hops were sent to the cold host after since, and drops the older ones.
-func (h *host) coldHopsSince(since time.Duration) int {
-	for len(h.coldHopTimes) > 0 && h.coldHopTimes[0] <= since {
-		h.coldHopTimes = h.coldHopTimes[1:]
+// recentTimes are times in ascending order.
+type recentTimes []time.Duration
+
+// dropUntil drops the times up to a time, and returns how many are left.
+func (r *recentTimes) dropUntil(until time.Duration) int {
+	for len(*r) > 0 && (*r)[0] <= until {
+		*r = (*r)[1:]
+	}
+	return len(*r)
+}
+
+// recordHopTime records that a hop is sent to a host now.
+func (b *Balancer) recordHopTime(h *host) {
+	switch {
+	case b.isCold(h):
+		h.coldHopTimes = append(h.coldHopTimes, b.now)
+	case b.coldRule.WarmUpDuration > 0:
+		h.warmHopTimes.dropUntil(b.now - b.coldRule.OverloadDuration)
+		h.warmHopTimes = append(h.warmHopTimes, b.now)
 	}
-	return len(h.coldHopTimes)
 }
 
 // medianLatency returns the median latency, in ns, of the hosts that have answered, 0 if none has.
@@ -1458,6 +1476,7 @@
 // hop is one attempt of a transaction at a host.
 type hop struct {
 	host           *host
+	location       location // where it may have run
 	sentAt         time.Duration
 	connectionIdle time.Duration // how long its connection had been idle, 0 where that does not matter
 	hostInFlight   float64       // hops at the host when it was sent, itself included
@@ -1504,9 +1523,12 @@
 // possiblyRunHop returns the first hop that may have been executed, or still may, nil if there is none.
 func (t *tx) possiblyRunHop() *hop {
 	for i := range t.hops {
-		if !t.hops[i].ended || !t.hops[i].outcome.NeverRan() {
+		if t.hops[i].mayHaveRun() {
 			return &t.hops[i]
 		}
 	}
 	return nil
 }
+
+// mayHaveRun reports whether the hop may have been executed, or still may.
+func (h *hop) mayHaveRun() bool { return !h.ended || !h.outcome.NeverRan() }
--- a/logic/types.go
+++ b/logic/types.go
@@ -182,6 +182,10 @@
 	State        HostState
 	CapacityHint float64       // relative to other hosts only; see InformationSources.CapacityHints
 	StartedAt    time.Duration // 0 if the host has been running for long
+
+	// The following fields are set by AddressTable.
+	SupersededBy                 *Host // the host that has started at its address since; State is HostGone then
+	ZoneUncertain, CellUncertain bool  // a host of another zone, or cell, may be at its address in its place
 }
 
 // Effect specifies whether a transaction may run more than once.
