A process ends the claims of IDs that it holds, and no others

Cause: Release and Retain went by the ID alone. A process that is stopped for longer than its leases last, or has handed a claim over, could end or renew the claim of the transaction that has the ID by then.

Change: the registry keeps, for each lease, the word that it last wrote, and renews and ends an entry only while that is there. An answer is not adopted under the claim of another transaction of this process.

Checks changed: TestSharedRegistry had one process end what either had claimed; now the owner ends it, and the other is shown not to.

--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -44,7 +44,7 @@
 	now   func() time.Duration // on a clock that all processes which use the table share
 
 	mu     sync.Mutex
-	leases map[*atomic.Uint64]uint64 // hashes of the IDs that this process has claimed, by entry
+	leases map[*atomic.Uint64]entry // what this process has last written to the entries of the IDs that it has claimed
 }
 
 // New returns a registry for this process alone.
@@ -55,7 +55,7 @@
 
 // newRegistry returns a registry with a table and a clock.
 func newRegistry(table []atomic.Uint64, now func() time.Duration) *Registry {
-	return &Registry{table: table, now: now, leases: map[*atomic.Uint64]uint64{}}
+	return &Registry{table: table, now: now, leases: map[*atomic.Uint64]entry{}}
 }
 
 // entryTime is a time in timeUnits, modulo 1<<timeBits.
@@ -79,6 +79,7 @@
 }
 
 func (e entry) ended() bool              { return e&endedFlag != 0 }
+func (e entry) hash() uint64             { return uint64(e) & idMask }
 func (e entry) has(hash uint64) bool     { return uint64(e)&idMask == hash&idMask }
 func (e entry) left(at entryTime) uint64 { return (uint64(e) - uint64(at)) & timeMask } // in timeUnits, if it is live
 
@@ -99,6 +100,13 @@
 // Claim registers the ID of a transaction that is open from now on. It returns false if it is that of another one that is
 // open or may still run, or if there is no room for it.
 func (r *Registry) Claim(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claim(id)
+}
+
+// claim is Claim for a caller that holds the lock.
+func (r *Registry) claim(id string) bool {
 	bucket, hash := r.bucketOf(id)
 	now := r.at(0)
 	claimed := newEntry(hash, false, r.at(leaseTTL))
@@ -112,7 +120,7 @@
 			return false
 		}
 	}
-	r.addLease(&bucket[slot], hash)
+	r.leases[&bucket[slot]] = claimed
 	return true
 }
 
@@ -121,67 +129,57 @@
 func (r *Registry) Adopt(id string) bool {
 	bucket, hash := r.bucketOf(id)
 	now := r.at(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for i := range bucket {
-		if e := entry(bucket[i].Load()); e.has(hash) && e.live(now) {
-			r.addLease(&bucket[i], hash)
-			return r.renewEntry(&bucket[i], hash)
+		for e := entry(bucket[i].Load()); e.has(hash) && e.live(now); e = entry(bucket[i].Load()) {
+			if e.ended() || r.leases[&bucket[i]] == e { // over, or that of another transaction of this process
+				return false
+			}
+			if r.renew(&bucket[i], e) { // else the other process has renewed it meanwhile
+				return true
+			}
 		}
 	}
-	return r.Claim(id)
+	return r.claim(id)
 }
 
 // HandOver leaves the claim of an ID to another process, which adopts it. The other process has leaseTTL for that.
-func (r *Registry) HandOver(id string) {
-	bucket, hash := r.bucketOf(id)
-	r.dropLease(bucket, hash)
-}
+func (r *Registry) HandOver(id string) { r.takeLease(r.bucketOf(id)) }
 
-// Renew extends the leases of this process.
+// Renew extends the leases of this process. One that has ended, as this process was stopped for long, stays so: the ID may
+// be that of another transaction by now.
 func (r *Registry) Renew() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for word, hash := range r.leases { // the order does not matter
-		r.renewEntryLocked(word, hash)
-	}
-}
-
-// renewEntry extends the lease in an entry. It returns false, and drops the lease, if the claim has ended.
-func (r *Registry) renewEntry(word *atomic.Uint64, hash uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.renewEntryLocked(word, hash)
-}
-
-// renewEntryLocked is renewEntry for a caller that holds the lock.
-func (r *Registry) renewEntryLocked(word *atomic.Uint64, hash uint64) bool {
-	for {
-		old := entry(word.Load())
-		if !old.has(hash) || old.ended() {
+	for word, lease := range r.leases { // the order does not matter
+		if !r.renew(word, lease) {
 			delete(r.leases, word)
-			return false
-		}
-		if word.CompareAndSwap(uint64(old), uint64(newEntry(hash, false, r.at(leaseTTL)))) {
-			return true
 		}
 	}
 }
 
-// addLease records that this process holds the lease in an entry.
-func (r *Registry) addLease(word *atomic.Uint64, hash uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leases[word] = hash
+// renew extends a lease, or takes one over, if its entry still is as it was. The caller holds the lock.
+func (r *Registry) renew(word *atomic.Uint64, lease entry) bool {
+	renewed := newEntry(lease.hash(), false, r.at(leaseTTL))
+	if !word.CompareAndSwap(uint64(lease), uint64(renewed)) {
+		return false
+	}
+	r.leases[word] = renewed
+	return true
 }
 
-// dropLease records that this process no longer holds the lease of an ID.
-func (r *Registry) dropLease(bucket []atomic.Uint64, hash uint64) {
+// takeLease returns the lease of an ID and its entry, and forgets it. The entry is nil if this process does not hold it.
+func (r *Registry) takeLease(bucket []atomic.Uint64, hash uint64) (word *atomic.Uint64, lease entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range bucket {
-		if r.leases[&bucket[i]] == hash {
+		if lease := r.leases[&bucket[i]]; lease.has(hash) {
 			delete(r.leases, &bucket[i])
+			return &bucket[i], lease
 		}
 	}
+	return nil, 0
 }
 
 // freeSlot returns a slot for an ID and the entry that is in it, or -1 if the ID is in the bucket or no slot can be used.
@@ -219,15 +217,9 @@
 	}
 }
 
-// replace replaces the entry of an ID, if it is there.
+// replace ends the lease of an ID, if this process holds it, and replaces its entry.
 func (r *Registry) replace(id string, with entry) {
-	bucket, hash := r.bucketOf(id)
-	r.dropLease(bucket, hash)
-	for i := range bucket {
-		for old := entry(bucket[i].Load()); old.has(hash); old = entry(bucket[i].Load()) { // another process may renew it meanwhile
-			if bucket[i].CompareAndSwap(uint64(old), uint64(with)) {
-				return
-			}
-		}
+	if word, lease := r.takeLease(r.bucketOf(id)); word != nil {
+		word.CompareAndSwap(uint64(lease), uint64(with)) // fails if the lease has expired and the ID is claimed again
 	}
 }
--- a/internal/openids/registry_test.go
+++ b/internal/openids/registry_test.go
@@ -88,6 +88,26 @@
 	// its process has died: true
 }
 
+// A process that was stopped for longer than its leases last ends nothing that is another's by then.
+func ExampleRegistry_Renew_stopped() {
+	stopped, now := newTestRegistry()
+	other := newRegistry(stopped.table, stopped.now)
+	for _, end := range []func(string){stopped.Release, stopped.Retain, func(string) { stopped.Renew() }} {
+		id := fmt.Sprint(*now)
+		stopped.Claim(id)
+		*now += leaseTTL
+		fmt.Print("claimed by the other: ", other.Claim(id))
+		end(id)
+		fmt.Print(", still its: ", !stopped.Claim(id))
+		other.Release(id)
+		fmt.Println(", free in the end:", stopped.Claim(id))
+	}
+	// Output:
+	// claimed by the other: true, still its: true, free in the end: true
+	// claimed by the other: true, still its: true, free in the end: true
+	// claimed by the other: true, still its: true, free in the end: true
+}
+
 // The IDs of transactions that are over give way to those of open ones, which never do.
 func TestFullRegistry(t *testing.T) {
 	r, now := newTestRegistry()
@@ -172,8 +192,14 @@
 	if none > ids/10 {
 		t.Errorf("%d IDs claimed by none", none)
 	}
-	registries[0].Release("1")
-	if !registries[1].Claim("1") {
+	owner, other := registries[0], registries[1]
+	if !owner.Claim("mine") {
+		t.Fatal("not claimed")
+	}
+	if other.Release("mine"); other.Claim("mine") {
+		t.Error("an ID that another process has claimed was released")
+	}
+	if owner.Release("mine"); !other.Claim("mine") {
 		t.Error("an ID that one process released is not free for the other")
 	}
 }
