A claim whose entry another process takes at that moment is tried again

Callers would see 409 for an ID that nobody uses: where two processes that share the table claimed IDs of one bucket at the same moment, the one that lost the entry was refused.

Change: Claim looks for another entry, until it has one or the ID is in the bucket.

--- a/internal/openids/registry.go
+++ b/internal/openids/registry.go
@@ -111,7 +111,10 @@
 	now := r.at(0)
 	claimed := newEntry(hash, false, r.at(leaseTTL))
 	slot, old := freeSlot(bucket, hash, now)
-	if slot < 0 || !bucket[slot].CompareAndSwap(uint64(old), uint64(claimed)) {
+	for slot >= 0 && !bucket[slot].CompareAndSwap(uint64(old), uint64(claimed)) { // another process has taken it meanwhile
+		slot, old = freeSlot(bucket, hash, now)
+	}
+	if slot < 0 {
 		return false
 	}
 	for i := range bucket { // another process may have claimed the same ID in another slot meanwhile
--- a/internal/openids/registry_test.go
+++ b/internal/openids/registry_test.go
@@ -204,6 +204,35 @@
 	}
 }
 
+// An ID was once refused because another process claimed another ID, with an entry in the same place, at that moment.
+func TestClaimsBesideOtherProcess(t *testing.T) {
+	first := New()
+	second := newRegistry(first.table, first.now)
+	var ids []string // of one bucket
+	place, _ := first.bucketOf("0")
+	for i := 0; len(ids) < 2; i++ {
+		if bucket, _ := first.bucketOf(fmt.Sprint(i)); &bucket[0] == &place[0] {
+			ids = append(ids, fmt.Sprint(i))
+		}
+	}
+	var refused atomic.Int32
+	var running sync.WaitGroup
+	for i, r := range []*Registry{first, second} {
+		running.Go(func() {
+			for range 200_000 {
+				if !r.Claim(ids[i]) {
+					refused.Add(1)
+				}
+				r.Release(ids[i])
+			}
+		})
+	}
+	running.Wait()
+	if n := refused.Load(); n > 0 {
+		t.Errorf("%d claims refused", n)
+	}
+}
+
 // A file that is not a table is refused, and left as it is.
 func TestOpenSharedWrongFile(t *testing.T) {
 	if _, err := OpenShared(t.TempDir()); err == nil {
