--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -191,7 +191,7 @@
 		fmt.Printf("%d %t %+v\n", l.Revision, l.Full, l.Hosts[0].Host(5, func(ms int64) time.Duration { return time.Duration(ms) }))
 	}
 	// Output:
-	// 3 true {ID:5 Zone:a Kind:m Cell:3 State:2 CapacityHint:1.5 StartedAt:9ns SupersededBy:<nil> ZoneUncertain:false CellUncertain:false}
+	// 3 true {ID:5 SupersededBy:0 Zone:a Kind:m Cell:3 State:2 ZoneUncertain:false CellUncertain:false CapacityHint:1.5 StartedAt:9ns}
 	// list: entry "s" in state "asleep"
 	// list: entry "" in state "in_service"
 	// list: unexpected end of JSON input
--- a/internal/routing/discovery_state.go
+++ b/internal/routing/discovery_state.go
@@ -50,45 +50,59 @@
 type supersededHost struct{ uid, successorUID, address string }
 
 // apply applies a list, or the changes to it.
-func (s *discoveryState) apply(kind logic.ListKind, placements []logic.Placement) (applied appliedList) {
-	targetsBefore, supersededBefore := s.targets(), maps.Clone(s.superseded)
-	if kind != logic.ListChanges {
-		s.addrByID, s.drainingBootMS, s.superseded = map[logic.HostID]string{}, map[logic.HostID]int64{}, map[logic.HostID]bool{}
+func (s *discoveryState) apply(kind logic.ListKind, hosts []logic.Host, placements []logic.Placement) (applied appliedList) {
+	applied.hosts = s.addresses.Apply(kind, hosts, placements)
+	addrBefore, supersededBefore := s.addrByID, s.superseded
+	if kind == logic.ListChanges {
+		addrBefore, supersededBefore = s.listedAmong(applied.hosts), maps.Clone(s.superseded)
+	} else {
+		s.addrByID, s.drainingBootMS, s.superseded = make(map[logic.HostID]string, len(hosts)), map[logic.HostID]int64{}, map[logic.HostID]bool{}
 	}
-	for _, placement := range s.addresses.Apply(kind, placements) {
-		if host := &placement.Host; host.SupersededBy != nil && !supersededBefore[host.ID] {
-			applied.superseded = append(applied.superseded, supersededHost{s.uidByID[host.ID], s.uidByID[host.SupersededBy.ID], placement.Address})
+	for i := range applied.hosts {
+		host := &applied.hosts[i]
+		if host.SupersededBy != 0 && !supersededBefore[host.ID] {
+			applied.superseded = append(applied.superseded,
+				supersededHost{s.uidByID[host.ID], s.uidByID[host.SupersededBy], s.addresses.Placement(host.ID).Address})
 		}
-		s.applyPlacement(placement, &applied)
+		s.applyHost(host, &applied)
 	}
 	s.forgetUnlisted()
-	targetsAfter := s.targets()
-	for target := range targetsBefore { // the order doesn't matter
-		if !targetsAfter[target] {
-			applied.removed = append(applied.removed, target)
+	for id, addr := range addrBefore { // the order doesn't matter
+		if s.addrByID[id] != addr {
+			applied.removed = append(applied.removed, transport.Target{HostID: uint32(id), Addr: addr})
 		}
 	}
 	return applied
 }
 
-// applyPlacement applies an entry of a list.
-func (s *discoveryState) applyPlacement(placement logic.Placement, applied *appliedList) {
-	host := placement.Host
-	applied.hosts = append(applied.hosts, host)
+// listedAmong returns the addresses of those hosts that are listed.
+func (s *discoveryState) listedAmong(hosts []logic.Host) map[logic.HostID]string {
+	addresses := map[logic.HostID]string{}
+	for i := range hosts {
+		if addr, listed := s.addrByID[hosts[i].ID]; listed {
+			addresses[hosts[i].ID] = addr
+		}
+	}
+	return addresses
+}
+
+// applyHost applies an entry of a list.
+func (s *discoveryState) applyHost(host *logic.Host, applied *appliedList) {
 	delete(s.drainingBootMS, host.ID)
-	if delete(s.superseded, host.ID); host.SupersededBy != nil {
+	if delete(s.superseded, host.ID); host.SupersededBy != 0 {
 		s.superseded[host.ID] = true
 	}
 	if host.State == logic.HostGone {
 		delete(s.addrByID, host.ID)
 		return
 	}
-	s.addrByID[host.ID] = placement.Address
-	if s.restarted(host.ID, placement.StartedMS) {
+	place := s.addresses.Placement(host.ID)
+	s.addrByID[host.ID] = place.Address
+	if s.restarted(host.ID, place.StartedMS) {
 		applied.restarted = append(applied.restarted, s.targetOf(host.ID))
 	}
 	if host.State == logic.HostDraining {
-		s.drainingBootMS[host.ID], applied.anyDraining = placement.StartedMS, true
+		s.drainingBootMS[host.ID], applied.anyDraining = place.StartedMS, true
 	}
 }
 
@@ -122,15 +136,6 @@
 	return known && before != bootMS
 }
 
-// targets returns the targets of all listed hosts.
-func (s *discoveryState) targets() map[transport.Target]bool {
-	all := map[transport.Target]bool{}
-	for id := range s.addrByID {
-		all[s.targetOf(id)] = true
-	}
-	return all
-}
-
 // hostIDFor returns the ID of a host, a checksum of its UID alone, as gateways refer to hosts by it
 // in peer messages. 0 stands for no host. It returns false if another host has the same ID.
 func (s *discoveryState) hostIDFor(uid string) (logic.HostID, bool) {
--- a/internal/routing/host_list.go
+++ b/internal/routing/host_list.go
@@ -54,7 +54,8 @@
 			d.closeOldDiscovery()
 			d.discovery.revision, d.discovery.hasList = list.Revision, true
 		}
-		applied := d.discovery.apply(kind, d.placements(list))
+		hosts, placements := d.hostsOf(list)
+		applied := d.discovery.apply(kind, hosts, placements)
 		d.afterUnlock(func() {
 			if kind != logic.ListChanges || len(list.Hosts) > 0 {
 				slog.Info("host list received", "revision", list.Revision, "full", kind != logic.ListChanges, "entries", len(list.Hosts))
@@ -68,19 +69,21 @@
 	})
 }
 
-// placements returns the entries of a list for the address table. An entry whose id is that of another host is left out.
-func (d *Dispatcher) placements(list *protocol.HostList) []logic.Placement {
-	placements := make([]logic.Placement, 0, len(list.Hosts))
+// hostsOf returns the hosts of a list for the decision core, and where they are. An entry whose id is that of another host
+// is left out.
+func (d *Dispatcher) hostsOf(list *protocol.HostList) ([]logic.Host, []logic.Placement) {
+	hosts, placements := make([]logic.Host, 0, len(list.Hosts)), make([]logic.Placement, 0, len(list.Hosts))
 	for i := range list.Hosts {
 		entry := &list.Hosts[i]
 		id, ok := d.discovery.hostIDFor(entry.UID)
 		if ok {
-			placements = append(placements, logic.Placement{Host: entry.Host(id, d.coreClockTime), Address: entry.Endpoint, StartedMS: entry.BootMS})
+			hosts = append(hosts, entry.Host(id, d.coreClockTime))
+			placements = append(placements, logic.Placement{Address: entry.Endpoint, StartedMS: entry.BootMS})
 		} else if d.Counters.warningLimiter.allow() {
 			d.afterUnlock(func() { slog.Error("host ignored: its id is that of another host", "uid", entry.UID, "id", id) })
 		}
 	}
-	return placements
+	return hosts, placements
 }
 
 // listApplied does what follows a list outside the lock: it closes idle connections to hosts that are no longer there.
--- a/logic/addresses.go
+++ b/logic/addresses.go
@@ -2,10 +2,9 @@
 
 import "slices"
 
-// Placement is an entry of the host list with what tells which of several hosts is at an address.
+// Placement is where a listed host is, and since when.
 type Placement struct {
-	Host      Host
-	Address   string // where the host is connected to; "" if it is not known
+	Address   string // where it is connected to, "" if it is not known
 	StartedMS int64  // Unix time in milliseconds at which it started, 0 if it has been running for long
 }
 
@@ -15,142 +14,190 @@
 // as well, until they are listed with another start time or address. Source: real/PROTOCOL.md, "Discovery" (boot_ms).
 type AddressTable struct {
 	listed    map[HostID]*listing
-	addresses map[string]*addressHosts
-	lists     int // how many lists were applied
+	addresses map[string]*listing // the first of the hosts at an address, as long as one is listed there
+	lists     int32               // how many lists were applied
 }
 
-// listing is a host as it was last listed.
+// listing is a host as it was last listed, or as it was when it left the list.
 type listing struct {
 	Placement
-	firstList  int // number of the list that first had it with this address and start time
+	host       *Host
+	next       *listing // another host at its address
+	firstList  int32    // number of the list that first had it with this address and start time
+	lastList   int32    // number of the list that last had it
+	departed   bool     // it has left the list; of several such the one that started last is kept
 	superseded bool
 }
 
-// addressHosts are the hosts at one address, for as long as one is listed there.
-type addressHosts struct {
-	listed   []*listing
-	departed *listing // the one that started last of those which have left the list since; nil for none
-}
-
 // NewAddressTable returns a table without hosts.
 func NewAddressTable() *AddressTable {
-	return &AddressTable{listed: map[HostID]*listing{}, addresses: map[string]*addressHosts{}}
+	return &AddressTable{listed: map[HostID]*listing{}, addresses: map[string]*listing{}}
 }
 
 // Apply takes a list, or the changes to it, and returns what the gateway is to apply in its place: a superseded host is
 // gone, with SupersededBy set. Where the list doesn't tell which of two hosts is at their address, both stay, and what
-// is uncertain of them is marked. Changes come with the other hosts for which the verdict is another one now.
-func (t *AddressTable) Apply(kind ListKind, placements []Placement) []Placement {
+// is uncertain of them is marked. Changes come with the other hosts for which the verdict is another one now. The table
+// refers to the list from then on; the caller doesn't change it. Each host has the placement of the same index.
+func (t *AddressTable) Apply(kind ListKind, hosts []Host, placements []Placement) []Host {
 	t.lists++
-	entries := make(map[HostID]bool, len(placements))
-	for _, p := range placements {
-		entries[p.Host.ID] = true
+	if len(t.listed) == 0 {
+		t.listed, t.addresses = make(map[HostID]*listing, len(hosts)), make(map[string]*listing, len(hosts))
+	}
+	var changed []string // addresses
+	for i := range hosts {
+		if old := t.listed[hosts[i].ID]; kind == ListChanges && old != nil {
+			changed = append(changed, old.Address)
+		}
+		t.update(&hosts[i], placements[i])
+		if kind == ListChanges {
+			changed = append(changed, placements[i].Address)
+		}
 	}
 	if kind != ListChanges {
-		for id, old := range t.listed { // in any order: of those that leave one address the last to start is kept
-			if !entries[id] {
-				t.remove(old, true)
+		t.removeOmitted()
+	}
+	applied, copied := hosts, false
+	for i := range hosts {
+		if l := t.listed[hosts[i].ID]; l != nil && t.isShared(l) {
+			if !copied {
+				applied, copied = slices.Clone(hosts), true
 			}
+			applied[i] = t.verdict(l)
 		}
 	}
-	touched := make([]*addressHosts, 0, len(placements))
-	for _, p := range placements {
-		touched = append(touched, t.update(p)...)
-	}
-	result := make([]Placement, 0, len(placements))
-	for _, p := range placements {
-		result = append(result, t.verdict(p))
+	for _, address := range changed {
+		applied = t.appendOthers(applied, address)
 	}
-	for _, at := range touched {
-		for _, other := range at.listed {
-			if before := other.superseded; !entries[other.Host.ID] {
-				if p := t.verdict(other.Placement); other.superseded != before {
-					result = append(result, p)
-				}
-			}
+	return applied
+}
+
+// appendOthers appends the hosts at an address that the current list does not have, and for which the verdict is another
+// one now.
+func (t *AddressTable) appendOthers(applied []Host, address string) []Host {
+	for l := t.addresses[address]; l != nil; l = l.next {
+		if l.departed || l.lastList == t.lists {
+			continue
 		}
+		before := l.superseded
+		if host := t.verdict(l); l.superseded != before {
+			applied = append(slices.Clip(applied), host)
+		}
+	}
+	return applied
+}
+
+// Placement returns where a listed host is.
+func (t *AddressTable) Placement(id HostID) Placement {
+	if l := t.listed[id]; l != nil {
+		return l.Placement
 	}
-	return result
+	return Placement{}
 }
 
-// update records an entry of a list, and returns the addresses at which it changes something.
-func (t *AddressTable) update(p Placement) (touched []*addressHosts) {
-	old := t.listed[p.Host.ID]
-	gone := p.Host.State == HostGone || p.Address == ""
-	if old != nil {
-		touched = append(touched, t.addresses[old.Address])
-		if !gone && old.Address == p.Address && old.StartedMS == p.StartedMS {
-			old.Placement = p
-			return touched
+// update records an entry of a list.
+func (t *AddressTable) update(host *Host, place Placement) {
+	gone := host.State == HostGone
+	if old := t.listed[host.ID]; old != nil {
+		if !gone && old.Placement == place {
+			old.host, old.lastList = host, t.lists
+			return
 		}
 		// With the same start time it was never at the other address: that was an error of the list.
-		t.remove(old, gone || old.Address != p.Address && old.StartedMS != p.StartedMS)
+		t.remove(old, gone || old.Address != place.Address && old.StartedMS != place.StartedMS)
 	}
-	if gone {
-		return touched
+	if !gone {
+		t.add(&listing{Placement: place, host: host, firstList: t.lists, lastList: t.lists})
 	}
-	return append(touched, t.add(&listing{Placement: p, firstList: t.lists}))
 }
 
-// add adds a host to the table and returns its address.
-func (t *AddressTable) add(l *listing) *addressHosts {
-	t.listed[l.Host.ID] = l
-	at := t.addresses[l.Address]
-	if at == nil {
-		at = &addressHosts{}
-		t.addresses[l.Address] = at
+// removeOmitted removes the hosts that the current list, a complete one, does not have.
+func (t *AddressTable) removeOmitted() {
+	for _, l := range t.listed { // in any order: of those that leave one address the last to start is kept
+		if l.lastList != t.lists {
+			t.remove(l, true)
+		}
 	}
-	at.listed = append(at.listed, l)
-	if at.departed != nil && at.departed.Host.ID == l.Host.ID {
-		at.departed = nil
+}
+
+// add adds a host to the table.
+func (t *AddressTable) add(l *listing) {
+	for other := t.addresses[l.Address]; other != nil; other = other.next {
+		if other.host.ID == l.host.ID { // it is back
+			t.unlink(other)
+		}
+	}
+	if t.listed[l.host.ID] = l; l.Address == "" {
+		return
 	}
-	return at
+	l.next = t.addresses[l.Address]
+	t.addresses[l.Address] = l
 }
 
-// remove removes a host from the table. departed reports whether it was at its address until now.
+// remove removes a host from the list. departed reports whether it was at its address until now.
 func (t *AddressTable) remove(l *listing, departed bool) {
-	delete(t.listed, l.Host.ID)
-	at := t.addresses[l.Address]
-	at.listed = slices.DeleteFunc(at.listed, func(other *listing) bool { return other == l })
-	if departed && (at.departed == nil || l.startedAfter(at.departed)) {
-		at.departed = l
+	delete(t.listed, l.host.ID)
+	if l.departed = departed; !departed {
+		t.unlink(l)
+	}
+	anyListed := false
+	for other := t.addresses[l.Address]; other != nil; other = other.next {
+		anyListed = anyListed || !other.departed
+		if departed && other.departed && other != l {
+			older := other
+			if other.startedAfter(l) {
+				older = l
+			}
+			t.unlink(older)
+		}
 	}
-	if len(at.listed) == 0 {
+	if !anyListed {
 		delete(t.addresses, l.Address)
 	}
 }
 
-// verdict returns an entry of a list as it is to be applied.
-func (t *AddressTable) verdict(p Placement) Placement {
-	l := t.listed[p.Host.ID]
-	if l == nil { // gone, or without an address
-		return p
-	}
-	at := t.addresses[l.Address]
-	newest := at.newest()
-	if l.superseded = newest.startedAfter(l); l.superseded {
-		successor := newest.Host
-		p.Host.State, p.Host.SupersededBy = HostGone, &successor
-		return p
-	}
-	for _, other := range at.listed {
-		if !l.startedAfter(other) { // nothing tells which of the two is there
-			p.Host.ZoneUncertain = p.Host.ZoneUncertain || other.Host.Zone != p.Host.Zone
-			p.Host.CellUncertain = p.Host.CellUncertain || other.Host.Cell != p.Host.Cell
+// unlink removes a host from its address.
+func (t *AddressTable) unlink(l *listing) {
+	first := t.addresses[l.Address]
+	if first == l {
+		t.addresses[l.Address] = l.next
+		return
+	}
+	for before := first; before != nil; before = before.next {
+		if before.next == l {
+			before.next = l.next
+			return
 		}
 	}
-	return p
 }
 
-// newest returns the host that started at the address last.
-func (at *addressHosts) newest() *listing {
-	newest := at.departed
-	for _, l := range at.listed {
-		if newest == nil || l.startedAfter(newest) {
-			newest = l
+// isShared reports whether others are, or were, at the address of a listed host.
+func (t *AddressTable) isShared(l *listing) bool {
+	first := t.addresses[l.Address]
+	shared := first != nil && (l.next != nil || first != l)
+	l.superseded = l.superseded && shared
+	return shared
+}
+
+// verdict returns a listed host as it is to be applied.
+func (t *AddressTable) verdict(l *listing) Host {
+	host, newest := *l.host, l
+	first := t.addresses[l.Address]
+	for other := first; other != nil; other = other.next {
+		if other.startedAfter(newest) {
+			newest = other
+		}
+	}
+	if l.superseded = newest != l; l.superseded {
+		host.State, host.SupersededBy = HostGone, newest.host.ID
+		return host
+	}
+	for other := first; other != nil; other = other.next {
+		if !other.departed && !l.startedAfter(other) { // nothing tells which of the two is there
+			host.ZoneUncertain = host.ZoneUncertain || other.host.Zone != host.Zone
+			host.CellUncertain = host.CellUncertain || other.host.Cell != host.Cell
 		}
 	}
-	return newest
+	return host
 }
 
 // startedAfter reports whether a host started after another one at the same address. Of two with the same start time the
--- a/logic/addresses_test.go
+++ b/logic/addresses_test.go
@@ -9,31 +9,47 @@
 	"spanmux/logic"
 )
 
-// placed returns an entry of a host at an address, in its own cell. A start time of 0 is not known.
-func placed(id logic.HostID, address string, startedMS int64) logic.Placement {
-	return logic.Placement{Host: readyHost(id, "a", int(id)), Address: address, StartedMS: startedMS}
+// placedHost is an entry of a list.
+type placedHost struct {
+	logic.Host
+	logic.Placement
 }
 
-// gonePlacement returns an entry of a host that is gone.
-func gonePlacement(id logic.HostID, address string, startedMS int64) logic.Placement {
-	p := placed(id, address, startedMS)
-	p.Host.State = logic.HostGone
-	return p
+// placed returns a host at an address, in its own cell. A start time of 0 is not known.
+func placed(id logic.HostID, address string, startedMS int64) placedHost {
+	return placedHost{readyHost(id, "a", int(id)), logic.Placement{Address: address, StartedMS: startedMS}}
+}
+
+// goneFrom returns a host that is gone.
+func goneFrom(id logic.HostID, address string, startedMS int64) placedHost {
+	host := placed(id, address, startedMS)
+	host.State = logic.HostGone
+	return host
+}
+
+// applyPlaced applies a list to a table.
+func applyPlaced(table *logic.AddressTable, kind logic.ListKind, list []placedHost) []logic.Host {
+	var hosts []logic.Host
+	var placements []logic.Placement
+	for _, entry := range list {
+		hosts, placements = append(hosts, entry.Host), append(placements, entry.Placement)
+	}
+	return table.Apply(kind, hosts, placements)
 }
 
 // describe returns what a list has become, by host.
-func describe(placements []logic.Placement) string {
+func describe(hosts []logic.Host) string {
 	var parts []string
-	for _, p := range placements {
+	for _, h := range hosts {
 		switch {
-		case p.Host.SupersededBy != nil:
-			parts = append(parts, fmt.Sprintf("%d superseded by %d", p.Host.ID, p.Host.SupersededBy.ID))
-		case p.Host.State == logic.HostGone:
-			parts = append(parts, fmt.Sprintf("%d gone", p.Host.ID))
-		case p.Host.CellUncertain:
-			parts = append(parts, fmt.Sprintf("%d of an uncertain cell", p.Host.ID))
+		case h.SupersededBy != 0:
+			parts = append(parts, fmt.Sprintf("%d superseded by %d", h.ID, h.SupersededBy))
+		case h.State == logic.HostGone:
+			parts = append(parts, fmt.Sprintf("%d gone", h.ID))
+		case h.CellUncertain:
+			parts = append(parts, fmt.Sprintf("%d of an uncertain cell", h.ID))
 		default:
-			parts = append(parts, fmt.Sprintf("%d there", p.Host.ID))
+			parts = append(parts, fmt.Sprintf("%d there", h.ID))
 		}
 	}
 	return strings.Join(parts, ", ")
@@ -43,15 +59,15 @@
 // case is a series of lists, and what is to be applied in their place.
 func TestAddressTable(t *testing.T) {
 	type list struct {
-		kind       logic.ListKind
-		placements []logic.Placement
-		want       string
+		kind  logic.ListKind
+		hosts []placedHost
+		want  string
 	}
-	whole := func(want string, placements ...logic.Placement) list {
-		return list{logic.ListComplete, placements, want}
+	whole := func(want string, hosts ...placedHost) list {
+		return list{logic.ListComplete, hosts, want}
 	}
-	change := func(want string, placements ...logic.Placement) list {
-		return list{logic.ListChanges, placements, want}
+	change := func(want string, hosts ...placedHost) list {
+		return list{logic.ListChanges, hosts, want}
 	}
 	for _, test := range []struct {
 		name  string
@@ -67,16 +83,16 @@
 		{"no start times: the one that comes later", []list{whole("1 there", placed(1, "a", 0)), change("2 there, 1 superseded by 2", placed(2, "a", 0)),
 			whole("1 superseded by 2, 2 there", placed(1, "a", 0), placed(2, "a", 0)), change("1 superseded by 2", placed(1, "a", 0))}},
 		{"nothing tells", []list{whole("1 of an uncertain cell, 2 of an uncertain cell, 3 there", placed(1, "a", 0), placed(2, "a", 0), placed(3, "b", 0)),
-			change("2 gone", gonePlacement(2, "a", 0)), change("1 there", placed(1, "a", 0))}},
-		{"the old one ends", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 gone", gonePlacement(1, "a", 10)),
+			change("2 gone", goneFrom(2, "a", 0)), change("1 there", placed(1, "a", 0))}},
+		{"the old one ends", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 gone", goneFrom(1, "a", 10)),
 			change("2 there", placed(2, "a", 20))}},
 		{"the new one ends: the old one is not there again", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)),
-			change("2 gone", gonePlacement(2, "a", 20)), change("1 superseded by 2", placed(1, "a", 10)), whole("1 superseded by 2", placed(1, "a", 10))}},
+			change("2 gone", goneFrom(2, "a", 20)), change("1 superseded by 2", placed(1, "a", 10)), whole("1 superseded by 2", placed(1, "a", 10))}},
 		{"the new one is left out", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), whole("1 superseded by 2", placed(1, "a", 10))}},
 		{"nobody is listed for a while: nothing is known", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), whole(""),
 			whole("1 there", placed(1, "a", 10))}},
 		{"a third one, which ends", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("3 there, 2 superseded by 3", placed(3, "a", 30)),
-			change("3 gone", gonePlacement(3, "a", 30)), change("1 superseded by 3, 2 superseded by 3", placed(1, "a", 10), placed(2, "a", 20))}},
+			change("3 gone", goneFrom(3, "a", 30)), change("1 superseded by 3, 2 superseded by 3", placed(1, "a", 10), placed(2, "a", 20))}},
 		{"the old one starts again there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 there, 2 superseded by 1", placed(1, "a", 30))}},
 		{"the old one starts again elsewhere", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 there", placed(1, "b", 30)),
 			change("2 there", placed(2, "a", 20))}},
@@ -85,12 +101,12 @@
 		{"the new one was never there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("2 there, 1 there", placed(2, "b", 20))}},
 		{"the new one starts again there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("2 there", placed(2, "a", 30)),
 			change("1 superseded by 2", placed(1, "a", 10))}},
-		{"no address", []list{whole("1 there, 2 there", placed(1, "", 10), placed(2, "", 20)), change("2 gone", gonePlacement(2, "", 20))}},
+		{"no address", []list{whole("1 there, 2 there", placed(1, "", 10), placed(2, "", 20)), change("2 gone", goneFrom(2, "", 20))}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			table := logic.NewAddressTable()
 			for i, list := range test.lists {
-				if got := describe(table.Apply(list.kind, list.placements)); got != list.want {
+				if got := describe(applyPlaced(table, list.kind, list.hosts)); got != list.want {
 					t.Fatalf("list %d: %q, want %q", i, got, list.want)
 				}
 			}
@@ -100,7 +116,7 @@
 
 // supersededBy returns the entry of a host that another one has superseded.
 func supersededBy(old, successor logic.Host) logic.Host {
-	old.State, old.SupersededBy = logic.HostGone, &successor
+	old.State, old.SupersededBy = logic.HostGone, successor.ID
 	return old
 }
 
--- a/logic/location.go
+++ b/logic/location.go
@@ -32,11 +32,14 @@
 	return true
 }
 
+// unknownLocation is that of a host of which nothing is known.
+var unknownLocation = location{zoneUncertain: true, cellUncertain: true}
+
 // locationChange is a host whose hops may have run at another location than the one that they were sent to: the list told
 // late that the host has moved, or that another one has superseded it.
 type locationChange struct {
 	host      *host
-	actual    location
+	moved     location
 	successor HostID // 0 for a host that has moved
 }
 
@@ -47,8 +50,8 @@
 		h := b.hosts.byID[entry.ID]
 		switch {
 		case h == nil:
-		case entry.SupersededBy != nil:
-			changes = append(changes, locationChange{h, entry.SupersededBy.location(), entry.SupersededBy.ID})
+		case entry.SupersededBy != 0:
+			changes = append(changes, locationChange{h, unknownLocation, entry.SupersededBy})
 		case entry.State != HostGone && entry.location() != h.location():
 			changes = append(changes, locationChange{h, entry.location(), 0})
 		}
@@ -56,13 +59,17 @@
 	return changes
 }
 
-// applyLocationChanges applies changes to the hops of open transactions.
+// applyLocationChanges applies changes to the hops of open transactions, once the list that makes them is applied.
 func (b *Balancer) applyLocationChanges(changes []locationChange) {
 	for _, change := range changes {
+		actual := change.moved
+		if successor := b.hosts.byID[change.successor]; successor != nil {
+			actual = successor.location()
+		}
 		for _, t := range b.txs { // in any order: each transaction by itself
 			for i := range t.hops {
 				if t.hops[i].host == change.host {
-					t.hops[i].location.mayBe(change.actual)
+					t.hops[i].location.mayBe(actual)
 				}
 			}
 		}
@@ -78,12 +85,12 @@
 	if successor.StartedAt == 0 {
 		return
 	}
-	for _, sentAt := range append(old.warmHopTimes, old.coldHopTimes...) {
+	for _, sentAt := range old.recentHopTimes {
 		if sentAt >= successor.StartedAt {
-			successor.coldHopTimes = append(successor.coldHopTimes, sentAt)
+			successor.recentHopTimes = append(successor.recentHopTimes, sentAt)
 		}
 	}
-	slices.Sort(successor.coldHopTimes)
+	slices.Sort(successor.recentHopTimes)
 	if successor.ownInFlight == 0 {
 		successor.unansweredSince = b.now
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -328,6 +328,7 @@
 		return
 	}
 	changes := b.locationChanges(hosts)
+	b.forgetHopsBeforeStart(hosts)
 	// The health of new and restarted hosts starts from its defaults, but their hops in flight still count.
 	for _, host := range b.hosts.merge(kind, hosts, b.isGone) {
 		host.health = health{weight: 1, latencyRatio: 1,
@@ -372,7 +373,7 @@
 	budgetFraction := ternary(b.now < b.coldRule.PredecessorActiveUntil, 1-ownColdBudgetFraction,
 		ownColdBudgetFraction) / float64(b.topology.GatewayCount)
 	budget := capacityFraction * b.coldRule.OverloadMultiple * hopsPerNs * float64(b.coldRule.OverloadDuration)
-	hopLimit, sent := budgetFraction*budget, h.coldHopTimes.dropUntil(b.now-b.coldRule.OverloadDuration)
+	hopLimit, sent := budgetFraction*budget, h.recentHopTimes.dropUntil(b.now-b.coldRule.OverloadDuration)
 	// If this gateway's part of a large budget is below one hop, it may send one with a probability equal to the
 	// capacity fraction that the host has reached.
 	if !b.judgesByZone() && budget >= coldHopBudgetDivisor {
--- a/logic/state.go
+++ b/logic/state.go
@@ -904,7 +904,7 @@
 				t.kinds[entry.Kind] = h.kindStats
 			}
 		}
-		if entry.State == HostGone && entry.SupersededBy == nil && !isGone(h) {
+		if entry.State == HostGone && entry.SupersededBy == 0 && !isGone(h) {
 			continue
 		}
 		h.Host = *entry
@@ -1054,8 +1054,7 @@
 	noConnectUntil     time.Duration        // no new connection is tried before, as one has failed
 	unsentOutcomes     []PeerEntry          // of own hops, for the zone coordinator
 	health
-	coldHopTimes recentTimes // when hops were sent within the last OverloadDuration while it was cold
-	warmHopTimes recentTimes // the same while it was not, where hosts start cold
+	recentHopTimes recentTimes // when hops were sent within the last OverloadDuration, where hosts start cold
 }
 
 // health is what hops and reports have shown of a host. It begins anew when the host starts again.
@@ -1261,12 +1260,19 @@
 
 // recordHopTime records that a hop is sent to a host now.
 func (b *Balancer) recordHopTime(h *host) {
-	switch {
-	case b.isCold(h):
-		h.coldHopTimes = append(h.coldHopTimes, b.now)
-	case b.coldRule.WarmUpDuration > 0:
-		h.warmHopTimes.dropUntil(b.now - b.coldRule.OverloadDuration)
-		h.warmHopTimes = append(h.warmHopTimes, b.now)
+	if b.coldRule.WarmUpDuration > 0 {
+		h.recentHopTimes.dropUntil(b.now - b.coldRule.OverloadDuration)
+		h.recentHopTimes = append(h.recentHopTimes, b.now)
+	}
+}
+
+// forgetHopsBeforeStart drops the times of the hops to warm hosts that a list has as started again: these hops went to
+// the processes before.
+func (b *Balancer) forgetHopsBeforeStart(listed []Host) {
+	for i := range listed {
+		if h := b.hosts.byID[listed[i].ID]; h != nil && h.StartedAt != listed[i].StartedAt && !b.isCold(h) {
+			h.recentHopTimes = nil
+		}
 	}
 }
 
--- a/logic/types.go
+++ b/logic/types.go
@@ -165,7 +165,7 @@
 )
 
 // HostState is the state of a host in discovery.
-type HostState int
+type HostState uint8
 
 const (
 	HostGone HostState = iota
@@ -176,16 +176,17 @@
 // Host is an entry of the host list.
 type Host struct {
 	ID           HostID
+	SupersededBy HostID // the host that has started at its address since, see AddressTable; State is HostGone then
 	Zone         string
 	Kind         string // hosts of the same kind are expected to perform alike
 	Cell         int
 	State        HostState
+
+	// A host of another zone, or cell, may be at its address in its place; see AddressTable.
+	ZoneUncertain, CellUncertain bool
+
 	CapacityHint float64       // relative to other hosts only; see InformationSources.CapacityHints
 	StartedAt    time.Duration // 0 if the host has been running for long
-
-	// The following fields are set by AddressTable.
-	SupersededBy                 *Host // the host that has started at its address since; State is HostGone then
-	ZoneUncertain, CellUncertain bool  // a host of another zone, or cell, may be at its address in its place
 }
 
 // Effect specifies whether a transaction may run more than once.
