--- a/cmd/spanmux/soak_discovery_test.go
+++ b/cmd/spanmux/soak_discovery_test.go
@@ -84,8 +84,8 @@
 			continue
 		}
 		changes = append(changes, entry)
-		targets = append(targets, fmt.Sprintf(`{"uid":"%s","endpoint":"%s","az":"a","model":"m","pod_group":%d,"state":"%s","capacity_hint":1,"boot_ms":0}`,
-			entry.host.uid(), entry.host.listeners[gateway].Addr(), entry.host.index, entry.state))
+		targets = append(targets, fmt.Sprintf(`{"uid":"%s","endpoint":"%s","az":"a","model":"m","pod_group":%d,"state":"%s","capacity_hint":1,"boot_ms":%d}`,
+			entry.host.uid(), entry.host.listeners[gateway].Addr(), entry.host.cell, entry.state, entry.host.bootMS))
 	}
 	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, d.revision, after == 0, strings.Join(targets, ",")), changes
 }
@@ -98,7 +98,7 @@
 	return text
 }
 
-// serve answers a call, and records what it tells of hosts that drain or are gone.
+// serve answers a call, and records what it tells of hosts that drain or are gone, and of new ones.
 func (d *soakDiscovery) serve(w http.ResponseWriter, r *http.Request, gateway int) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("index"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
@@ -133,8 +133,11 @@
 	d.record.mu.Lock()
 	defer d.record.mu.Unlock()
 	for _, entry := range changes {
+		written := listRecord{gateway, process, entry.host.index, entry.state, d.record.now()}
 		if entry.state != "in_service" {
-			d.record.lists = append(d.record.lists, listRecord{gateway, process, entry.host.index, entry.state, d.record.now()})
+			d.record.lists = append(d.record.lists, written)
+		} else if entry.host.bootMS > 0 {
+			d.record.listsAdding = append(d.record.listsAdding, written)
 		}
 	}
 }
--- a/cmd/spanmux/soak_host_test.go
+++ b/cmd/spanmux/soak_host_test.go
@@ -18,10 +18,13 @@
 
 // soakHost is a stand-in host. It has an address for each gateway, so that its records name the gateway of an attempt.
 type soakHost struct {
-	record    *soakRecord
-	index     int
-	phases    []hostPhase
-	listeners [soakGateways]net.Listener
+	record     *soakRecord
+	index      int
+	cell       int
+	bootMS     int64 // its start as a Unix time, 0 for long before the run
+	resetOneIn int   // of so many requests that it would serve it resets one; 0 for none
+	phases     []hostPhase
+	listeners  [soakGateways]net.Listener
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -29,8 +32,8 @@
 }
 
 // startSoakHost starts a host.
-func startSoakHost(record *soakRecord, index int, phases []hostPhase) *soakHost {
-	h := &soakHost{record: record, index: index, phases: phases, conns: map[net.Conn]bool{}}
+func startSoakHost(record *soakRecord, index, cell, resetOneIn int, phases []hostPhase) *soakHost {
+	h := &soakHost{record: record, index: index, cell: cell, resetOneIn: resetOneIn, phases: phases, conns: map[net.Conn]bool{}}
 	for gateway := range h.listeners {
 		h.listeners[gateway] = listenOnFreeAddress()
 		go h.accept(h.listeners[gateway], gateway)
@@ -106,7 +109,9 @@
 		if ms, err := strconv.Atoi(request.Header.Get("X-Expires-In-Ms")); err == nil {
 			attempt.expiresIn = time.Duration(ms) * time.Millisecond
 		}
-		attempt.mode = h.mode()
+		if attempt.mode = h.mode(); attempt.mode == hostServes && h.resetOneIn > 0 && rand.IntN(h.resetOneIn) == 0 {
+			attempt.mode = hostResets
+		}
 		h.record.addAttempt(attempt)
 		conn.SetReadDeadline(time.Time{})
 		if err := h.readBody(request, attempt); err != nil {
--- a/cmd/spanmux/soak_judge_test.go
+++ b/cmd/spanmux/soak_judge_test.go
@@ -172,6 +172,7 @@
 		}
 	}
 	j.checkEffect(last, attempts)
+	j.checkCells(last, attempts)
 	j.checkSentOn(last, attempts)
 }
 
--- a/cmd/spanmux/soak_record_test.go
+++ b/cmd/spanmux/soak_record_test.go
@@ -65,14 +65,15 @@
 
 // soakRecord has the records of all that take part in a run.
 type soakRecord struct {
-	began     time.Time
-	mu        sync.Mutex
-	requests  []requestRecord
-	attempts  []*attemptRecord
-	lists     []listRecord
-	processes []*processRecord
-	partials  []partialRecord
-	delays    []delayRecord
+	began       time.Time
+	mu          sync.Mutex
+	requests    []requestRecord
+	attempts    []*attemptRecord
+	lists       []listRecord // of hosts that drain or are gone
+	listsAdding []listRecord // of hosts that have taken the addresses of others
+	processes   []*processRecord
+	partials    []partialRecord
+	delays      []delayRecord
 }
 
 // delayRecord is a moment in which a goroutine of this process, and so maybe a stand-in, ran later than it was due.
--- a/cmd/spanmux/soak_scenario_test.go
+++ b/cmd/spanmux/soak_scenario_test.go
@@ -97,6 +97,7 @@
 	signals      [soakGateways][]signalStep
 	lists        []listStep
 	outages      []outage
+	replacements []hostReplacement
 	silentAt     time.Duration // when all open watches fall silent for good; 0 for never
 }
 
@@ -128,6 +129,7 @@
 	}
 	s.drawLongWaits()
 	s.drawCostlyClients()
+	s.drawReplacements()
 	return s
 }
 
@@ -222,7 +224,7 @@
 func (s *scenario) settings(gateway int) json.RawMessage {
 	var profiles []map[string]any
 	for _, profile := range s.profiles {
-		profiles = append(profiles, map[string]any{"name": profile.Name, "effect": profile.Effect, "group": "all", "window": profile.DedupWindow.Microseconds(),
+		profiles = append(profiles, map[string]any{"name": profile.Name, "effect": profile.Effect, "group": s.dedupGroup(), "window": profile.DedupWindow.Microseconds(),
 			"serviceGoal": profile.HardLimit.Microseconds() * 3 / 4, "hardLimit": profile.HardLimit.Microseconds(), "revenue": 1})
 	}
 	discovery := "subscribe"
@@ -242,7 +244,7 @@
 
 // String describes the scenario in a line.
 func (s *scenario) String() string {
-	return fmt.Sprintf("seed %d: %d hosts, %d clients, crowd %d, costly %d, longest deadline %v, pushed %t, cancelling %t, peers %t, %d list changes, %d outages, silent at %v",
-		s.seed, len(s.hosts), s.clients, s.crowd, s.costly, s.longestHardLimit(), s.pushed, s.cancelling, s.peerMessages, len(s.lists), len(s.outages),
+	return fmt.Sprintf("seed %d: %d hosts, %d clients, crowd %d, costly %d, longest deadline %v, pushed %t, cancelling %t, peers %t, %d list changes, %d replaced hosts, %d outages, silent at %v",
+		s.seed, len(s.hosts), s.clients, s.crowd, s.costly, s.longestHardLimit(), s.pushed, s.cancelling, s.peerMessages, len(s.lists), len(s.replacements), len(s.outages),
 		s.silentAt.Round(time.Millisecond))
 }
--- a/cmd/spanmux/soak_test.go
+++ b/cmd/spanmux/soak_test.go
@@ -107,12 +107,12 @@
 // playScenario plays a run and returns what its parts recorded.
 func playScenario(s *scenario, dir string) *soakRecord {
 	record := &soakRecord{began: time.Now()}
-	var hosts []*soakHost
+	hosts := make([]*soakHost, len(s.hosts)+len(s.replacements)) // those that replace others come later
 	for i, phases := range s.hosts {
-		hosts = append(hosts, startSoakHost(record, i, phases))
+		hosts[i] = startSoakHost(record, i, s.cellOf(i), s.resetOneIn(), phases)
 	}
 	gateways := make([]*soakGateway, soakGateways)
-	discovery := startSoakDiscovery(record, hosts, s.silentAt, func(gateway int) int { return gateways[gateway].processIndex() })
+	discovery := startSoakDiscovery(record, hosts[:len(s.hosts)], s.silentAt, func(gateway int) int { return gateways[gateway].processIndex() })
 	peerAddrs := make([]string, soakGateways)
 	for i := range peerAddrs {
 		peerAddrs[i] = freeAddress()
@@ -200,23 +200,25 @@
 	}
 }
 
-// playChanges makes the changes of the list, and the outages of discovery, at their times.
+// soakChange is something that happens to hosts or discovery at a time.
+type soakChange struct {
+	at   time.Duration
+	make func()
+}
+
+// playChanges makes the changes of the list, the replacements of hosts and the outages of discovery, at their times.
 func playChanges(s *scenario, record *soakRecord, discovery *soakDiscovery, hosts []*soakHost) {
-	type change struct {
-		at   time.Duration
-		make func()
-	}
-	var changes []change
+	changes := replacementChanges(s, record, discovery, hosts)
 	for _, step := range s.lists {
-		changes = append(changes, change{step.at, func() { discovery.change(step.host, step.state) }})
+		changes = append(changes, soakChange{step.at, func() { discovery.change(step.host, step.state) }})
 		if step.state == "terminated" {
-			changes = append(changes, change{step.at + soakDrainGrace, hosts[step.host].stop})
+			changes = append(changes, soakChange{step.at + soakDrainGrace, hosts[step.host].stop})
 		}
 	}
 	for _, outage := range s.outages {
-		changes = append(changes, change{outage.from, func() { discovery.setDown(true) }}, change{outage.until, func() { discovery.setDown(false) }})
+		changes = append(changes, soakChange{outage.from, func() { discovery.setDown(true) }}, soakChange{outage.until, func() { discovery.setDown(false) }})
 	}
-	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.at, b.at) })
+	slices.SortStableFunc(changes, func(a, b soakChange) int { return cmp.Compare(a.at, b.at) })
 	for _, change := range changes {
 		time.Sleep(change.at - record.now())
 		change.make()
