A host that no longer shares its address is superseded anew by the next one there

Cause: where a whole list corrected the address of a host that had superseded another, the other kept the mark of it, and a change that brought a third host to its address did not bring the other along: it stayed in service beside that.

Change: a host that is alone at its address loses the mark.

Measured: the case of TestAddressTable red before, green after; TestAddressTableProperties (200 seeds of 100 lists) fails without the line. arm64.

--- a/logic/addresses.go
+++ b/logic/addresses.go
@@ -58,12 +58,18 @@
 	}
 	applied, copied := hosts, false
 	for i := range hosts {
-		if l := t.listed[hosts[i].ID]; l != nil && t.isShared(l) {
-			if !copied {
-				applied, copied = slices.Clone(hosts), true
-			}
-			applied[i] = t.verdict(l)
+		l := t.listed[hosts[i].ID]
+		if l == nil {
+			continue
+		}
+		if !t.isShared(l) {
+			l.superseded = false
+			continue
+		}
+		if !copied {
+			applied, copied = slices.Clone(hosts), true
 		}
+		applied[i] = t.verdict(l)
 	}
 	for _, address := range changed {
 		applied = t.appendOthers(applied, address)
@@ -173,9 +179,7 @@
 // isShared reports whether others are, or were, at the address of a listed host.
 func (t *AddressTable) isShared(l *listing) bool {
 	first := t.addresses[l.Address]
-	shared := first != nil && (l.next != nil || first != l)
-	l.superseded = l.superseded && shared
-	return shared
+	return first != nil && (l.next != nil || first != l)
 }
 
 // verdict returns a listed host as it is to be applied.
--- a/logic/addresses_test.go
+++ b/logic/addresses_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -99,6 +102,8 @@
 		{"the new one starts again elsewhere", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("2 there", placed(2, "b", 30)),
 			change("1 superseded by 2", placed(1, "a", 10))}},
 		{"the new one was never there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("2 there, 1 there", placed(2, "b", 20))}},
+		{"the new one was never there, and a third one comes", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)),
+			whole("1 there, 2 there", placed(1, "a", 10), placed(2, "b", 20)), change("3 there, 1 superseded by 3", placed(3, "a", 30))}},
 		{"the new one starts again there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("2 there", placed(2, "a", 30)),
 			change("1 superseded by 2", placed(1, "a", 10))}},
 		{"no address", []list{whole("1 there, 2 there", placed(1, "", 10), placed(2, "", 20)), change("2 gone", goneFrom(2, "", 20))}},
@@ -219,3 +224,61 @@
 		}
 	}
 }
+
+// What a gateway has in service after any series of lists is what the whole list as it stands would leave in service, and no two hosts of which
+// one is known to have started later are in service at one address.
+func TestAddressTableProperties(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 79))
+		table, listed, inService := logic.NewAddressTable(), map[logic.HostID]placedHost{}, map[logic.HostID]bool{}
+		apply := func(kind logic.ListKind, list []placedHost) {
+			if kind != logic.ListChanges {
+				clear(listed)
+				clear(inService)
+			}
+			for _, entry := range list {
+				if listed[entry.ID] = entry; entry.State == logic.HostGone {
+					delete(listed, entry.ID)
+				}
+			}
+			for _, host := range applyPlaced(table, kind, list) {
+				if inService[host.ID] = host.State != logic.HostGone; !inService[host.ID] {
+					delete(inService, host.ID)
+				}
+			}
+		}
+		for step := range 100 {
+			var list []placedHost
+			for id := logic.HostID(1); id <= 5; id++ {
+				if random.IntN(2) == 0 {
+					continue
+				}
+				entry := placed(id, []string{"a", "b", ""}[random.IntN(3)], int64(10*random.IntN(4)))
+				if random.IntN(2) == 0 && listed[id].ID != 0 {
+					entry = listed[id]
+				}
+				if entry.State = logic.HostReady; random.IntN(4) == 0 {
+					entry.State = logic.HostGone
+				}
+				list = append(list, entry)
+			}
+			kind := logic.ListChanges
+			if random.IntN(4) == 0 {
+				kind = logic.ListComplete
+			}
+			apply(kind, list)
+			for id := range inService {
+				for other := range inService {
+					first, second := listed[id], listed[other]
+					if first.Address != "" && first.Address == second.Address && first.StartedMS < second.StartedMS {
+						t.Fatalf("seed %d, step %d: %v and %v are in service at one address", seed, step, first, second)
+					}
+				}
+			}
+			before := maps.Clone(inService)
+			if apply(logic.ListChanges, slices.Collect(maps.Values(listed))); !maps.Equal(before, inService) {
+				t.Fatalf("seed %d, step %d: in service %v, by the whole list %v", seed, step, before, inService)
+			}
+		}
+	}
+}
