TestAddressTable has hosts that leave an address one after the other

Of several hosts that have left an address the one that started last is to be kept; a mutant of AddressTable.remove that keeps the other one passed the tests. Now it fails this case.

--- a/logic/addresses_test.go
+++ b/logic/addresses_test.go
@@ -96,6 +96,8 @@
 			whole("1 there", placed(1, "a", 10))}},
 		{"a third one, which ends", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("3 there, 2 superseded by 3", placed(3, "a", 30)),
 			change("3 gone", goneFrom(3, "a", 30)), change("1 superseded by 3, 2 superseded by 3", placed(1, "a", 10), placed(2, "a", 20))}},
+		{"two leave, the one that started last first", []list{whole("1 superseded by 3, 2 superseded by 3, 3 there", placed(1, "a", 10), placed(2, "a", 20), placed(3, "a", 30)),
+			change("3 gone", goneFrom(3, "a", 30)), change("2 gone", goneFrom(2, "a", 20)), change("1 superseded by 3", placed(1, "a", 10))}},
 		{"the old one starts again there", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 there, 2 superseded by 1", placed(1, "a", 30))}},
 		{"the old one starts again elsewhere", []list{whole("1 superseded by 2, 2 there", placed(1, "a", 10), placed(2, "a", 20)), change("1 there", placed(1, "b", 30)),
 			change("2 there", placed(2, "a", 20))}},
