The budget of cold hosts and the rule on repeats have files of their own

logic.go and state.go had the parts of both: coldhosts.go and repeats.go have them now, moved as they were.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -315,7 +315,7 @@
 	return b.random.uniform()*float64(b.topology.GatewayCount) < maxIndependentGateways
 }
 
-// Host lists and the budget of cold hosts.
+// Host lists.
 
 // HostListReceived implements Core. After a failed request it schedules another.
 func (b *Balancer) HostListReceived(now time.Duration, kind ListKind, hosts []Host) {
@@ -351,39 +351,6 @@
 	return !b.drainRule.AllowGoneHosts || h.State != HostReady || h.hostBreaker.open
 }
 
-// withinColdBudget reports whether a cold host may be sent another hop. Each gateway gets an equal part of the host's
-// budget. If that isn't a whole number of hops, the fraction is rounded up or down at random, once per window: when a
-// third of the hosts restarted, all gateways used the cold ones at once, and one hop from each gateway is far over the
-// budget.
-func (b *Balancer) withinColdBudget(h *host, profile int) bool {
-	if !b.isCold(h) {
-		return true
-	}
-	age := max(0, b.now-h.StartedAt-b.coldRule.StartTimeTolerance)
-	capacityFraction := b.coldRule.InitialCapacityFraction +
-		(1-b.coldRule.InitialCapacityFraction)*float64(age)/float64(b.coldRule.WarmUpDuration)
-	// A kind without samples is taken to have the usual ratio.
-	serviceTimeRatio := ternary(h.kindStats.serviceTimeRatio.samples == 0, 1,
-		max(h.kindStats.serviceTimeRatio.value, minServiceTimeRatio))
-	serviceTime := ternary(b.judgesByZone(), b.meanServiceTime, b.serviceTime[0]).value
-	hopsPerNs := max(1, h.kindStats.slots.value) / (serviceTime * serviceTimeRatio)
-	observedHopsPerNs := coldObservedRateFraction * h.kindStats.answersPerSecond.value *
-		float64(b.topology.GatewayCount) / float64(time.Second)
-	hopsPerNs = ternary(b.judgesByZone(), max(hopsPerNs, observedHopsPerNs), hopsPerNs) // the answer rate of warm hosts is a lower bound
-	budgetFraction := ternary(b.now < b.coldRule.PredecessorActiveUntil, 1-ownColdBudgetFraction,
-		ownColdBudgetFraction) / float64(b.topology.GatewayCount)
-	budget := capacityFraction * b.coldRule.OverloadMultiple * hopsPerNs * float64(b.coldRule.OverloadDuration)
-	hopLimit, sent := budgetFraction*budget, h.recentHopTimes.dropUntil(b.now-b.coldRule.OverloadDuration)
-	// If this gateway's part of a large budget is below one hop, it may send one with a probability equal to the
-	// capacity fraction that the host has reached.
-	if !b.judgesByZone() && budget >= coldHopBudgetDivisor {
-		return sent < max(1, int(hopLimit)) && (hopLimit >= 1 || b.random.uniform() < capacityFraction)
-	}
-	perWindow := randomSource{b.random.seed ^ uint32(h.ID), uint32(b.now / b.coldRule.OverloadDuration)}
-	return (!b.judgesByZone() || b.serviceTime[profile].value*coldHopBudgetDivisor <= budget*serviceTime) &&
-		sent < int(hopLimit+perWindow.uniform())
-}
-
 // Host health: breakers, latency and weight.
 
 // record counts the outcome of a hop and reports whether the breaker opened or closed. errorSample is 1 for an error
@@ -851,36 +818,6 @@
 
 // Transactions and their hops.
 
-// mayRunOn reports whether the transaction may be sent to a host: not to one where its effect could happen twice, nor
-// to one that it was sent to before.
-func (t *tx) mayRunOn(h *host, now time.Duration) bool {
-	if slices.ContainsFunc(t.hops, func(used hop) bool { return used.host == h }) {
-		return false
-	}
-	switch {
-	case t.possiblyRunHop() == nil || t.profileConfig.Effect == Idempotent:
-		return true
-	case t.profileConfig.Effect == NonIdempotent || t.repeatWindowLeft(now) <= 0:
-		return false
-	}
-	for i := range t.hops {
-		if t.hops[i].mayHaveRun() && !t.hops[i].location.sharesRepeats(h.location(), t.profileConfig.DedupScope) {
-			return false
-		}
-	}
-	return true
-}
-
-// repeatWindowLeft returns for how long hosts still drop a repeat of a transaction that may have run, 0 if it can't have
-// run or may run again.
-func (t *tx) repeatWindowLeft(now time.Duration) time.Duration {
-	ranOn := t.possiblyRunHop()
-	if ranOn == nil || t.profileConfig.Effect != Deduplicated {
-		return 0
-	}
-	return max(0, ranOn.sentAt+t.profileConfig.DedupWindow-serviceGoalMargin-now)
-}
-
 // isOutlier reports whether hops of a tenant miss their goals while those of the others don't. They then wait for
 // something of the tenant's own, and hosts aren't judged by them. If they are heavy work instead, the others soon
 // miss their goals too.
--- a/logic/state.go
+++ b/logic/state.go
@@ -1242,40 +1242,6 @@
 	}
 }
 
-// isCold reports whether a host is still warming up, or may be, as its start time is not exact.
-func (b *Balancer) isCold(h *host) bool {
-	return h.StartedAt > 0 && b.now-h.StartedAt < b.coldRule.WarmUpDuration+b.coldRule.StartTimeTolerance
-}
-
-// recentTimes are times in ascending order.
-type recentTimes []time.Duration
-
-// dropUntil drops the times up to a time, and returns how many are left.
-func (r *recentTimes) dropUntil(until time.Duration) int {
-	for len(*r) > 0 && (*r)[0] <= until {
-		*r = (*r)[1:]
-	}
-	return len(*r)
-}
-
-// recordHopTime records that a hop is sent to a host now.
-func (b *Balancer) recordHopTime(h *host) {
-	if b.coldRule.WarmUpDuration > 0 {
-		h.recentHopTimes.dropUntil(b.now - b.coldRule.OverloadDuration)
-		h.recentHopTimes = append(h.recentHopTimes, b.now)
-	}
-}
-
-// forgetHopsBeforeStart drops the times of the hops to warm hosts that a list has as started again: these hops went to
-// the processes before.
-func (b *Balancer) forgetHopsBeforeStart(listed []Host) {
-	for i := range listed {
-		if h := b.hosts.byID[listed[i].ID]; h != nil && h.StartedAt != listed[i].StartedAt && !b.isCold(h) {
-			h.recentHopTimes = nil
-		}
-	}
-}
-
 // medianLatency returns the median latency, in ns, of the hosts that have answered, 0 if none has.
 func medianLatency(hosts []*host) float64 {
 	var latencies []float64
@@ -1525,16 +1491,3 @@
 // extraRetryCandidates returns how many hosts beyond the subset a pick considers for a transaction that may have run: its
 // group may be all that it can go to, and the subset used up.
 func (t *tx) extraRetryCandidates() int { return ternary(t.possiblyRunHop() != nil, len(t.hops), 0) }
-
-// possiblyRunHop returns the first hop that may have been executed, or still may, nil if there is none.
-func (t *tx) possiblyRunHop() *hop {
-	for i := range t.hops {
-		if t.hops[i].mayHaveRun() {
-			return &t.hops[i]
-		}
-	}
-	return nil
-}
-
-// mayHaveRun reports whether the hop may have been executed, or still may.
-func (h *hop) mayHaveRun() bool { return !h.ended || !h.outcome.NeverRan() }
--- a/logic/types.go
+++ b/logic/types.go
@@ -2,8 +2,8 @@
 // is sent to, whether a failed hop is retried, and how the transaction ends. It has no I/O, clock or goroutines: the
 // caller passes in events and the current time through Core and carries out the decisions through Executor.
 //
-// types.go holds these interfaces and the data that they exchange, logic.go the decisions, state.go what is stored
-// and how it is updated.
+// types.go holds these interfaces and the data that they exchange, logic.go and the files named for what they decide the
+// decisions, state.go what is stored and how it is updated.
 package logic
 
 import "time"
