--- a/internal/routing/shared_address_test.go
+++ b/internal/routing/shared_address_test.go
@@ -241,33 +241,23 @@
 	})
 }
 
-// startCountingHost starts a host that commits every request. When a connection ends, ends gets the query of its last request.
-func startCountingHost(ends chan<- string) (address string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	go func() {
-		for nc, err := ln.Accept(); err == nil; nc, err = ln.Accept() {
-			go func() {
-				defer nc.Close()
-				reader, last := bufio.NewReader(nc), ""
-				for head, err := http.ReadRequest(reader); err == nil; head, err = http.ReadRequest(reader) {
-					io.Copy(io.Discard, head.Body)
-					last = head.URL.RawQuery
-					io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-				ends <- last
-			}()
+// startCommittingHost starts a host that commits every request. When a connection ends, ends gets the query of its last request.
+func startCommittingHost(ends chan<- string) (address string) {
+	return startConnServer(func(nc net.Conn) {
+		reader, last := bufio.NewReader(nc), ""
+		for head, err := http.ReadRequest(reader); err == nil; head, err = http.ReadRequest(reader) {
+			io.Copy(io.Discard, head.Body)
+			last = head.URL.RawQuery
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
-	}()
-	return ln.Addr().String()
+		ends <- last
+	})
 }
 
 // The connections to a superseded host are closed, and those to its successor stay as the old host ends.
 func TestConnectionsAtSharedAddress(t *testing.T) {
 	gateway, ends := newTestGateway(), make(chan string, 9)
-	address := startCountingHost(ends)
+	address := startCommittingHost(ends)
 	apply := func(revision int64, entry protocol.HostEntry) {
 		gateway.applyList(gateway.discovery.conn, logic.ListChanges, &protocol.HostList{Revision: revision, Hosts: []protocol.HostEntry{entry}})
 	}
--- a/internal/routing/stream_test.go
+++ b/internal/routing/stream_test.go
@@ -20,8 +20,8 @@
 
 const megabyte = 1 << 20
 
-// startScriptedHost starts a host that calls serve for each request head it reads.
-func (g *testGateway) startScriptedHost(serve func(nc net.Conn, head *http.Request)) protocol.HostEntry {
+// startConnServer starts a server that calls serve for each connection, and returns its address.
+func startConnServer(serve func(nc net.Conn)) (address string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -30,14 +30,22 @@
 		for nc, err := ln.Accept(); err == nil; nc, err = ln.Accept() {
 			go func() {
 				defer nc.Close()
-				r := bufio.NewReader(nc)
-				for head, err := http.ReadRequest(r); err == nil; head, err = http.ReadRequest(r) {
-					serve(nc, head)
-				}
+				serve(nc)
 			}()
 		}
 	}()
-	return protocol.HostEntry{UID: "scripted", Endpoint: ln.Addr().String(), Zone: "a", State: "in_service"}
+	return ln.Addr().String()
+}
+
+// startScriptedHost starts a host that calls serve for each request head it reads.
+func (g *testGateway) startScriptedHost(serve func(nc net.Conn, head *http.Request)) protocol.HostEntry {
+	address := startConnServer(func(nc net.Conn) {
+		r := bufio.NewReader(nc)
+		for head, err := http.ReadRequest(r); err == nil; head, err = http.ReadRequest(r) {
+			serve(nc, head)
+		}
+	})
+	return protocol.HostEntry{UID: "scripted", Endpoint: address, Zone: "a", State: "in_service"}
 }
 
 // newGatewayWithScriptedHost returns a test gateway with one scripted host.
