A decision allocates no more for the locations of hops and the times of hops

Change: a hop has a location of its own only once it differs from its host's; the room of dropped times is used again. Of a superseded host's hops only those of the last window count at its successor.

--- a/logic/coldhosts.go
+++ b/logic/coldhosts.go
@@ -1,6 +1,9 @@
 package logic
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The budget of cold hosts.
 
@@ -53,11 +56,19 @@
 	return len(*r)
 }
 
+// add adds a time, and drops those up to another one. The room of the dropped ones is used again.
+func (r *recentTimes) add(at, until time.Duration) {
+	if len(*r) == cap(*r) {
+		old, _ := slices.BinarySearch(*r, until+1)
+		*r = slices.Delete(*r, 0, old)
+	}
+	*r = append(*r, at)
+}
+
 // recordHopTime records that a hop is sent to a host now.
 func (b *Balancer) recordHopTime(h *host) {
 	if b.coldRule.WarmUpDuration > 0 {
-		h.recentHopTimes.dropUntil(b.now - b.coldRule.OverloadDuration)
-		h.recentHopTimes = append(h.recentHopTimes, b.now)
+		h.recentHopTimes.add(b.now, b.now-b.coldRule.OverloadDuration)
 	}
 }
 
--- a/logic/location.go
+++ b/logic/location.go
@@ -15,6 +15,14 @@
 	return location{h.Zone, h.Cell, h.ZoneUncertain, h.CellUncertain}
 }
 
+// location returns where a hop may have run.
+func (h *hop) location() location {
+	if h.relocated != nil {
+		return *h.relocated
+	}
+	return h.host.location()
+}
+
 // mayBe makes uncertain what another location, which may be the true one, has otherwise.
 func (l *location) mayBe(other location) {
 	l.zoneUncertain = l.zoneUncertain || other.zoneUncertain || l.zone != other.zone
@@ -38,9 +46,9 @@
 // locationChange is a host whose hops may have run at another location than the one that they were sent to: the list told
 // late that the host has moved, or that another one has superseded it.
 type locationChange struct {
-	host      *host
-	moved     location
-	successor HostID // 0 for a host that has moved
+	host          *host
+	before, moved location
+	successor     HostID // 0 for a host that has moved
 }
 
 // locationChanges returns the changes that a list makes to the known hosts.
@@ -51,9 +59,9 @@
 		switch {
 		case h == nil:
 		case entry.SupersededBy != 0:
-			changes = append(changes, locationChange{h, unknownLocation, entry.SupersededBy})
+			changes = append(changes, locationChange{h, h.location(), unknownLocation, entry.SupersededBy})
 		case entry.State != HostGone && entry.location() != h.location():
-			changes = append(changes, locationChange{h, entry.location(), 0})
+			changes = append(changes, locationChange{h, h.location(), entry.location(), 0})
 		}
 	}
 	return changes
@@ -69,7 +77,7 @@
 		for _, t := range b.txs { // in any order: each transaction by itself
 			for i := range t.hops {
 				if t.hops[i].host == change.host {
-					t.hops[i].location.mayBe(actual)
+					t.hops[i].relocate(change.before, actual)
 				}
 			}
 		}
@@ -79,14 +87,23 @@
 	}
 }
 
+// relocate records that a hop which was sent to one location may have run at another.
+func (h *hop) relocate(sent, actual location) {
+	if h.relocated == nil {
+		h.relocated = &sent
+	}
+	h.relocated.mayBe(actual)
+}
+
 // moveHops moves the hops that were sent to a host after its successor had started to the successor: they reach that one,
 // count as load there, and use its budget while it is cold.
 func (b *Balancer) moveHops(old, successor *host) {
 	if successor.StartedAt == 0 {
 		return
 	}
+	oldest := max(successor.StartedAt, b.now-b.coldRule.OverloadDuration)
 	for _, sentAt := range old.recentHopTimes {
-		if sentAt >= successor.StartedAt {
+		if sentAt >= oldest {
 			successor.recentHopTimes = append(successor.recentHopTimes, sentAt)
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -986,7 +986,7 @@
 	h.connectionUnproven = ternary(h.ownInFlight == 1, h.lastUsedAt == 0 || idle > 0, h.connectionUnproven)
 	h.lastUsedAt, t.hopsInFlight = b.now, t.hopsInFlight+1
 	t.hops = append(t.hops,
-		hop{host: h, location: h.location(), sentAt: b.now, connectionIdle: idle, hostInFlight: h.inFlight(), onFailure: func() {
+		hop{host: h, sentAt: b.now, connectionIdle: idle, hostInFlight: h.inFlight(), onFailure: func() {
 			if t.hopsInFlight == 0 && !b.retry(t) {
 				b.finishTransaction(t)
 			}
--- a/logic/repeats.go
+++ b/logic/repeats.go
@@ -20,7 +20,7 @@
 		return false
 	}
 	for i := range t.hops {
-		if t.hops[i].mayHaveRun() && !t.hops[i].location.sharesRepeats(h.location(), t.profileConfig.DedupScope) {
+		if t.hops[i].mayHaveRun() && !t.hops[i].location().sharesRepeats(h.location(), t.profileConfig.DedupScope) {
 			return false
 		}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -1448,7 +1448,7 @@
 // hop is one attempt of a transaction at a host.
 type hop struct {
 	host           *host
-	location       location // where it may have run
+	relocated      *location // where it may have run, once that is not just where its host is; else nil
 	sentAt         time.Duration
 	connectionIdle time.Duration // how long its connection had been idle, 0 where that does not matter
 	hostInFlight   float64       // hops at the host when it was sent, itself included
