A hop at a host that is gone ran where the host was, and is counted once at its successor

Change: such an entry changes nothing about where a hop has run; the times go over once.

Measured: TestRepeatAfterHostIsGone red before (repeated in the other cell), TestHopsOfSupersededHostCountAtSuccessor red without its line (18 hops, 13 where the list says so three times), logic green but for the two known red tests.

--- a/logic/addresses_test.go
+++ b/logic/addresses_test.go
@@ -148,9 +148,9 @@
 	}
 }
 
-// hopsToColdHost returns the hops to a cold host within a second and a half, where hops in flight were sent to the host that it has superseded after
-// it had started.
-func hopsToColdHost(hopsBefore int) int {
+// hopsToColdHost returns the hops to a cold host within half a second, where hops in flight were sent to the host that it has superseded after it had
+// started, and so many lists say so.
+func hopsToColdHost(hopsBefore, lists int) int {
 	old := readyHost(1, "a", 1)
 	gw := startGatewayAmong(1, 0, logic.InformationSources{MaxListPollInterval: 10 * time.Second}, []logic.Profile{readProfile}, nil, old)
 	gw.quiet = true
@@ -162,7 +162,9 @@
 	}
 	successor := readyHost(2, "a", 2)
 	successor.StartedAt = startedAt
-	gw.HostListReceived(gw.now, logic.ListChanges, []logic.Host{successor, supersededBy(old, successor)})
+	for range lists {
+		gw.HostListReceived(gw.now, logic.ListChanges, []logic.Host{successor, supersededBy(old, successor)})
+	}
 	for id := range 500 {
 		gw.receive(2000+id, 0, -1)
 		gw.endHop(2000+id, 0, logic.HopCommitted, 60*ms)
@@ -173,15 +175,18 @@
 
 // What had been sent to a host that was superseded meanwhile was once neither load of its successor nor counted in the budget of that while it was cold.
 func TestHopsOfSupersededHostCountAtSuccessor(t *testing.T) {
-	alone := hopsToColdHost(0)
+	alone := hopsToColdHost(0, 1)
 	if alone < 8 {
 		t.Fatalf("%d hops to the cold host", alone)
 	}
 	for _, before := range []int{alone / 2, alone, 2 * alone} {
-		if after := hopsToColdHost(before); after > max(0, alone-before) {
+		if after := hopsToColdHost(before, 1); after > max(0, alone-before) {
 			t.Errorf("%d hops to the cold host, and %d before to the one that it superseded; its budget allows %d", after, before, alone)
 		}
 	}
+	if once, again := hopsToColdHost(2, 1), hopsToColdHost(2, 3); again != once {
+		t.Errorf("%d hops to the cold host, %d where the list says three times that it has superseded the other one", once, again)
+	}
 }
 
 // The hops in flight at a superseded host are in flight at its successor, if they were sent after that had started, until they end.
@@ -227,6 +232,20 @@
 	}
 }
 
+// The entry of a host that has gone may say less of it than the one before: a hop that had run there was repeated in the cell of that entry.
+func TestRepeatAfterHostIsGone(t *testing.T) {
+	gone := readyHost(1, "", 0)
+	gone.State = logic.HostGone
+	gw := startGateway([]logic.Profile{orderProfile}, nil, readyHost(1, "a", 1))
+	gw.receive(1, 0, -1)
+	gw.HostListReceived(gw.now, logic.ListChanges, []logic.Host{gone, readyHost(2, "a", 1), readyHost(3, "a", 0)})
+	gw.advance(10 * ms)
+	gw.endHop(1, 0, logic.HopError, 10*ms)
+	if gw.hopsByHost[2] != 1 || gw.hopsByHost[3] != 0 {
+		t.Errorf("hops by host: %v, want the repeat at host 2\n%s", gw.hopsByHost, gw.lines.String())
+	}
+}
+
 // What a gateway has in service after any series of lists is what the whole list as it stands would leave in service, and no two hosts of which
 // one is known to have started later are in service at one address.
 func TestAddressTableProperties(t *testing.T) {
--- a/logic/location.go
+++ b/logic/location.go
@@ -60,7 +60,10 @@
 		case h == nil:
 		case entry.SupersededBy != 0:
 			changes = append(changes, locationChange{h, h.location(), unknownLocation, entry.SupersededBy})
-		case entry.State != HostGone && entry.location() != h.location():
+		case entry.location() == h.location():
+		case entry.State == HostGone: // it was where it was, whatever the entry says
+			changes = append(changes, locationChange{h, h.location(), h.location(), 0})
+		default:
 			changes = append(changes, locationChange{h, h.location(), entry.location(), 0})
 		}
 	}
@@ -108,6 +111,7 @@
 		}
 	}
 	slices.Sort(successor.recentHopTimes)
+	old.recentHopTimes = nil // the next list says again that it is superseded
 	if successor.ownInFlight == 0 {
 		successor.unansweredSince = b.now
 	}
